--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/configuration/Configuration.java
@@ -0,0 +1,16 @@
+package dev.jayturn.core.configuration;
+
+import java.util.List;
+
+/**
+ * One version of the configuration, whole.
+ *
+ * @param keyed whether requests need a customer's key
+ */
+public record Configuration(
+        long version,
+        List<Route> routes,
+        List<Service> services,
+        RequestLimits limits,
+        boolean keyed,
+        List<Customer> customers) {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftConfig.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftConfig.java
@@ -7,7 +7,8 @@
  *
  * @param id its instance, then #, then the identity of its store
  * @param seeds instances that a member without a log asks to be taken in
- * @param initCluster whether a member without a log starts a new cluster of itself alone
+ * @param founders members of the new cluster that a member without a log starts; empty if it joins
+ *     one. All founders are given the same list.
  * @param electionMillis shortest election timeout; the longest is twice that
  * @param heartbeatMillis time between heartbeats
  * @param snapshotEntries applied entries after which the log is cut
@@ -15,7 +16,7 @@
 public record RaftConfig(
         String id,
         List<String> seeds,
-        boolean initCluster,
+        List<String> founders,
         long electionMillis,
         long heartbeatMillis,
         int snapshotEntries) {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -6,6 +6,7 @@
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -61,9 +62,12 @@
         for (JournalRecord entry : records) {
             log.recover(entry);
         }
-        if (log.isEmpty() && config.initCluster()) {
-            MemberChange alone = new MemberChange(List.of(new Member(config.id(), true)));
-            log.append(new LogEntry(1, 0, alone), () -> {});
+        if (log.isEmpty() && !config.founders().isEmpty()) {
+            List<Member> founders = new ArrayList<>();
+            for (String id : config.founders()) {
+                founders.add(new Member(id, true));
+            }
+            log.append(new LogEntry(1, 0, new MemberChange(founders)), () -> {});
         }
         members = log.membersAt(log.lastIndex());
         machine.restore(log.baseItems());
@@ -149,8 +153,16 @@
             onAppendReply(reply);
         } else if (message instanceof InstallReply reply && reply.to().equals(config.id())) {
             onInstallReply(reply);
-        } else if (message instanceof JoinRequest join && leadership != null) {
+        } else if (message instanceof JoinRequest join) {
+            onJoin(join);
+        }
+    }
+
+    private void onJoin(JoinRequest join) {
+        if (leadership != null) {
             leadership.join(join.from());
+        } else if (!leader.isEmpty() && !isLeaderSilent()) {
+            transport.send(leader, join);
         }
     }
 
@@ -210,6 +222,10 @@
     }
 
     private void onVoteRequest(VoteRequest request) {
+        if (leadership != null) {
+            // One that was taken out while it was away does not know it; it joins again.
+            leadership.join(request.from());
+        }
         boolean hasLeader = isLeader() || !isLeaderSilent();
         if (hasLeader || request.term() < term()) {
             replyVote(request, false);
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
@@ -0,0 +1,124 @@
+package dev.jayturn.core.directory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The newest heartbeat of each upstream. Rows bear the revision of their last change, so that a
+ * reader is sent only what changed since the revision that it holds.
+ */
+public final class UpstreamTable {
+    /** How long a departed or silent upstream is remembered, so that late heartbeats are known. */
+    private static final long KEEP_MILLIS = 60_000;
+
+    private final Map<String, Row> rows = new LinkedHashMap<>();
+    private long revision;
+
+    private static final class Row {
+        Heartbeat heartbeat;
+        long revision;
+        long heardMillis;
+
+        Row(Heartbeat heartbeat) {
+            this.heartbeat = heartbeat;
+        }
+    }
+
+    /** Returns the number of the last change. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Takes a heartbeat; returns whether it changed what is known beside the time. */
+    public boolean accept(Heartbeat heartbeat, long nowMillis) {
+        Row row = rows.get(heartbeat.id());
+        if (row == null) {
+            row = new Row(heartbeat);
+            rows.put(heartbeat.id(), row);
+            row.heardMillis = nowMillis;
+            row.revision = ++revision;
+            return true;
+        }
+        boolean sameLife = heartbeat.incarnation() == row.heartbeat.incarnation();
+        if (!heartbeat.isAfter(row.heartbeat)) {
+            if (sameLife && heartbeat.sequence() == row.heartbeat.sequence()) {
+                row.heardMillis = nowMillis;
+            }
+            return false;
+        }
+        if (sameLife && row.heartbeat.state() == UpstreamState.GONE) {
+            return false;
+        }
+        row.heardMillis = nowMillis;
+        boolean changed = heartbeat.differsFrom(row.heartbeat);
+        row.heartbeat = heartbeat;
+        if (changed) {
+            row.revision = ++revision;
+        }
+        return changed;
+    }
+
+    /**
+     * Marks one life of an upstream as gone.
+     *
+     * @param incarnation 0 for whichever life is known
+     * @return its last words, null if that life is unknown
+     */
+    public @Nullable Heartbeat depart(String id, long incarnation, long nowMillis) {
+        Row row = rows.get(id);
+        if (row == null) {
+            return null;
+        }
+        if (incarnation != 0 && row.heartbeat.incarnation() != incarnation) {
+            return null;
+        }
+        if (row.heartbeat.state() != UpstreamState.GONE) {
+            row.heartbeat = row.heartbeat.withState(UpstreamState.GONE);
+            row.heardMillis = nowMillis;
+            row.revision = ++revision;
+        }
+        return row.heartbeat;
+    }
+
+    /** Returns the rows changed after a revision. */
+    public List<Heartbeat> changedSince(long since) {
+        List<Heartbeat> changed = new ArrayList<>();
+        for (Row row : rows.values()) {
+            if (row.revision > since) {
+                changed.add(row.heartbeat);
+            }
+        }
+        return changed;
+    }
+
+    /** Returns the ids heard of after a time. */
+    public List<Heartbeat> heardSince(long sinceMillis) {
+        List<Heartbeat> heard = new ArrayList<>();
+        for (Row row : rows.values()) {
+            if (row.heardMillis >= sinceMillis) {
+                heard.add(row.heartbeat);
+            }
+        }
+        return heard;
+    }
+
+    /** Forgets what has not been heard of for long. */
+    public void forgetOld(long nowMillis) {
+        Collection<Row> all = rows.values();
+        for (Iterator<Row> it = all.iterator(); it.hasNext(); ) {
+            if (nowMillis - it.next().heardMillis > KEEP_MILLIS) {
+                it.remove();
+            }
+        }
+    }
+
+    /** Returns how many upstreams are known. */
+    public int size() {
+        return rows.size();
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PlacementPolicy.java
@@ -0,0 +1,22 @@
+package dev.jayturn.core.dispatch;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses an upstream for a request. */
+public interface PlacementPolicy {
+    /**
+     * Chooses among the upstreams that take new work and have not had the request yet.
+     *
+     * @param instances live entry instances, which share the upstreams
+     */
+    @Nullable Choice choose(Work work, List<UpstreamLoad> upstreams, int instances, long nowMillis);
+
+    /**
+     * An upstream and why it was chosen.
+     *
+     * @param expectedMillis expected time to the first event or answer
+     * @param room whether the upstream is expected to start on the request without waiting long
+     */
+    record Choice(UpstreamLoad upstream, double expectedMillis, boolean room) {}
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ServiceSplit.java
@@ -0,0 +1,30 @@
+package dev.jayturn.core.dispatch;
+
+import dev.jayturn.core.configuration.Route;
+import dev.jayturn.core.configuration.ServiceWeight;
+import dev.jayturn.core.random.RandomSource;
+import java.util.List;
+
+/** Draws the service of a request by the weights of its route. */
+public final class ServiceSplit {
+    private static final int STEPS = 1 << 20;
+
+    private ServiceSplit() {}
+
+    /** Returns the name of a service. */
+    public static String draw(Route route, RandomSource random) {
+        List<ServiceWeight> split = route.split();
+        double sum = 0;
+        for (ServiceWeight part : split) {
+            sum += part.weight();
+        }
+        double left = sum * random.nextInt(STEPS) / STEPS;
+        for (ServiceWeight part : split) {
+            left -= part.weight();
+            if (left < 0) {
+                return part.service();
+            }
+        }
+        return split.get(split.size() - 1).service();
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamBook.java
@@ -0,0 +1,97 @@
+package dev.jayturn.core.dispatch;
+
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.directory.UpstreamState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+import org.jspecify.annotations.Nullable;
+
+/** The upstreams that an entry instance may send to, by service. */
+public final class UpstreamBook {
+    private final Map<String, UpstreamLoad> byId = new LinkedHashMap<>();
+    private final Map<String, Heartbeat> newest = new HashMap<>();
+    private final Map<String, Heartbeat> owners = new HashMap<>();
+    private final ToLongFunction<String> cacheTokens;
+
+    /**
+     * Creates an empty book.
+     *
+     * @param cacheTokens tokens that an upstream of a service keeps, by the service's name
+     */
+    public UpstreamBook(ToLongFunction<String> cacheTokens) {
+        this.cacheTokens = cacheTokens;
+    }
+
+    /**
+     * Takes a heartbeat in any order.
+     *
+     * @return the load record of an upstream that takes no new work any more, if there is one
+     */
+    public @Nullable UpstreamLoad accept(Heartbeat heartbeat) {
+        Heartbeat before = newest.get(heartbeat.id());
+        if (before != null && !heartbeat.isAfter(before)) {
+            return null;
+        }
+        boolean sameLife = before != null && before.incarnation() == heartbeat.incarnation();
+        if (before != null && sameLife && before.state() == UpstreamState.GONE) {
+            return null;
+        }
+        newest.put(heartbeat.id(), heartbeat);
+        if (!takeAddress(heartbeat)) {
+            return null;
+        }
+        if (heartbeat.state() != UpstreamState.READY) {
+            return byId.remove(heartbeat.id());
+        }
+        UpstreamLoad known = byId.get(heartbeat.id());
+        boolean sameAddress =
+                known != null && known.heartbeat().address().equals(heartbeat.address());
+        if (known != null && sameLife && sameAddress) {
+            known.update(heartbeat);
+            return null;
+        }
+        byId.put(
+                heartbeat.id(),
+                new UpstreamLoad(heartbeat, cacheTokens.applyAsLong(heartbeat.service())));
+        return known;
+    }
+
+    /** Returns whether no later life has the address; an earlier one that had it is forgotten. */
+    private boolean takeAddress(Heartbeat heartbeat) {
+        Heartbeat owner = owners.get(heartbeat.address());
+        boolean other = owner != null && !owner.id().equals(heartbeat.id());
+        if (other && owner != null && owner.incarnation() > heartbeat.incarnation()) {
+            return false;
+        }
+        if (other && owner != null) {
+            byId.remove(owner.id());
+        }
+        owners.put(heartbeat.address(), heartbeat);
+        return true;
+    }
+
+    /** Forgets an upstream that turned out not to be at its address any more. */
+    public void remove(UpstreamLoad upstream) {
+        byId.remove(upstream.heartbeat().id(), upstream);
+    }
+
+    /** Returns the upstreams of a service that take new work. */
+    public List<UpstreamLoad> ofService(String service) {
+        List<UpstreamLoad> found = new ArrayList<>();
+        for (UpstreamLoad upstream : byId.values()) {
+            if (upstream.heartbeat().service().equals(service)) {
+                found.add(upstream);
+            }
+        }
+        return found;
+    }
+
+    /** Returns the number of upstreams that take new work. */
+    public int size() {
+        return byId.size();
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationDesk.java
@@ -0,0 +1,135 @@
+package dev.jayturn.core.fleet;
+
+import dev.jayturn.core.consensus.Proposal;
+import dev.jayturn.core.consensus.RaftNode;
+import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.transport.Message;
+import dev.jayturn.core.transport.Transport;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Takes operators' calls at any control instance and has the leader carry them out. */
+final class ConfigurationDesk {
+    /** Callers move on after a second without an answer. */
+    private static final long CALL_TIMEOUT_MILLIS = 900;
+
+    private static final long RETRY_MILLIS = 150;
+
+    private final String self;
+    private final RaftNode raft;
+    private final FleetState state;
+    private final Transport transport;
+    private final TimerService timers;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private long lastId;
+
+    private static final class Pending {
+        final long untilMillis;
+        final PutConfiguration put;
+        final ConfigurationReply reply;
+        String sentTo = "";
+
+        Pending(long untilMillis, PutConfiguration put, ConfigurationReply reply) {
+            this.untilMillis = untilMillis;
+            this.put = put;
+            this.reply = reply;
+        }
+    }
+
+    ConfigurationDesk(
+            String self,
+            RaftNode raft,
+            FleetState state,
+            Transport transport,
+            TimerService timers) {
+        this.self = self;
+        this.raft = raft;
+        this.state = state;
+        this.transport = transport;
+        this.timers = timers;
+    }
+
+    /** Puts a configuration in force; with version 0 only reads. */
+    void call(PutConfiguration put, ConfigurationReply reply) {
+        long id = ++lastId;
+        pending.put(id, new Pending(timers.nowMillis() + CALL_TIMEOUT_MILLIS, put, reply));
+        attempt(id);
+    }
+
+    private void attempt(long id) {
+        Pending call = pending.get(id);
+        if (call == null) {
+            return;
+        }
+        if (timers.nowMillis() >= call.untilMillis) {
+            pending.remove(id);
+            call.reply.unsure();
+            return;
+        }
+        String leader = raft.leader();
+        if (!leader.isEmpty() && !leader.equals(call.sentTo)) {
+            call.sentTo = leader;
+            PutConfiguration put = call.put;
+            byte[] document = put.version() == 0 ? null : put.document();
+            transport.send(
+                    leader,
+                    new ConfigurationCall(self, id, put.version(), document, put.prepaid()));
+        }
+        timers.schedule(RETRY_MILLIS, () -> attempt(id));
+    }
+
+    boolean handle(Message message) {
+        if (message instanceof ConfigurationCall call) {
+            carryOut(call);
+        } else if (message instanceof ConfigurationAnswer answer) {
+            finish(answer);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void carryOut(ConfigurationCall call) {
+        byte[] document = call.document();
+        if (document == null || call.version() <= state.configuration().version()) {
+            raft.confirm(sure -> answer(call, sure));
+            return;
+        }
+        raft.propose(
+                new PutConfiguration(call.version(), document, call.prepaid()),
+                new Proposal() {
+                    @Override
+                    public void applied(Object outcome) {
+                        answer(call, true);
+                    }
+
+                    @Override
+                    public void lost() {
+                        answer(call, false);
+                    }
+                });
+    }
+
+    private void answer(ConfigurationCall call, boolean sure) {
+        ConfigurationDocument held = state.configuration();
+        boolean read = call.document() == null;
+        transport.send(
+                call.from(),
+                new ConfigurationAnswer(
+                        call.id(), sure, held.version(), read ? held.document() : new byte[0]));
+    }
+
+    private void finish(ConfigurationAnswer answer) {
+        Pending call = pending.get(answer.id());
+        if (call == null) {
+            return;
+        }
+        if (!answer.sure()) {
+            // The next attempt finds another leader, or the time runs out.
+            call.sentTo = "";
+            return;
+        }
+        pending.remove(answer.id());
+        call.reply.confirmed(new ConfigurationDocument(answer.version(), answer.document()));
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -0,0 +1,366 @@
+package dev.jayturn.core.fleet;
+
+import dev.jayturn.core.consensus.Member;
+import dev.jayturn.core.consensus.Proposal;
+import dev.jayturn.core.consensus.RaftNode;
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.directory.UpstreamTable;
+import dev.jayturn.core.slice.SliceChange;
+import dev.jayturn.core.slice.SliceGrant;
+import dev.jayturn.core.slice.SliceIssue;
+import dev.jayturn.core.slice.SlicePlanner;
+import dev.jayturn.core.slice.SliceReturn;
+import dev.jayturn.core.slice.SliceStatus;
+import dev.jayturn.core.slice.SliceTable;
+import dev.jayturn.core.slice.SliceTotals;
+import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.transport.Addresses;
+import dev.jayturn.core.transport.Message;
+import dev.jayturn.core.transport.Transport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A control instance's side of the fleet: its entry instances, its upstreams and the slices. */
+public final class FleetControl {
+    /** An entry instance that has not reported for so long is not counted as live. */
+    private static final long LIVE_MILLIS = 2_000;
+
+    private static final long PLAN_MILLIS = 100;
+    private static final long SHARE_MILLIS = 1_000;
+
+    /** Time after which the configuration is sent again to an entry that still lacks it. */
+    private static final long RESEND_MILLIS = 600;
+
+    /** Upstreams heard of within this time are listed to entries. */
+    private static final long HEARD_MILLIS = 2_500;
+
+    private final String self;
+    private final long epoch;
+    private final RaftNode raft;
+    private final FleetState state;
+    private final Transport transport;
+    private final TimerService timers;
+    private final ConfigurationDesk desk;
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private boolean changePending;
+    private boolean pushPending;
+    private long lastShareMillis;
+
+    private static final class Entry {
+        String holder = "";
+        long heardMillis;
+        long version;
+        long documentSentMillis = Long.MIN_VALUE / 2;
+        long documentSentVersion;
+        long tableEpoch;
+        long tableRevision;
+        boolean leaving;
+        Map<String, SliceStatus> slices = new HashMap<>();
+        Map<String, Long> recalls = new HashMap<>();
+    }
+
+    /**
+     * Starts a control instance.
+     *
+     * @param epoch differs in each life of the process
+     */
+    public FleetControl(
+            String self,
+            long epoch,
+            RaftNode raft,
+            FleetState state,
+            Transport transport,
+            TimerService timers) {
+        this.self = self;
+        this.epoch = epoch;
+        this.raft = raft;
+        this.state = state;
+        this.transport = transport;
+        this.timers = timers;
+        this.desk = new ConfigurationDesk(self, raft, state, transport, timers);
+        state.onChange(this::schedulePush);
+        timers.every(PLAN_MILLIS, this::tick);
+    }
+
+    /** Handles a message from another instance. */
+    public void handle(Message message) {
+        if (message instanceof EntryReport report) {
+            onReport(report);
+        } else if (message instanceof HeartbeatShare share) {
+            boolean changed = false;
+            for (Heartbeat heartbeat : share.heartbeats()) {
+                changed |= upstreams.accept(heartbeat, timers.nowMillis());
+            }
+            if (changed) {
+                schedulePush();
+            }
+        } else if (!desk.handle(message)) {
+            raft.handle(message);
+        }
+    }
+
+    /** Takes a heartbeat from an upstream; once this returns, all entries are being told. */
+    public void onHeartbeat(Heartbeat heartbeat) {
+        if (upstreams.accept(heartbeat, timers.nowMillis())) {
+            share(List.of(heartbeat));
+            pushAll();
+        }
+    }
+
+    /** Takes the departure of one life of an upstream; 0 for whichever it is. */
+    public void onDeparture(String id, long incarnation) {
+        Heartbeat last = upstreams.depart(id, incarnation, timers.nowMillis());
+        if (last != null) {
+            share(List.of(last));
+            pushAll();
+        }
+    }
+
+    /** Returns how many upstreams are known. */
+    public int upstreamCount() {
+        return upstreams.size();
+    }
+
+    /** Puts a configuration in force through the leader. */
+    public void put(PutConfiguration put, ConfigurationReply reply) {
+        desk.call(put, reply);
+    }
+
+    /** Reads the newest configuration through the leader. */
+    public void read(ConfigurationReply reply) {
+        desk.call(new PutConfiguration(0, new byte[0], Map.of()), reply);
+    }
+
+    private void onReport(EntryReport report) {
+        Entry entry = entries.computeIfAbsent(report.from(), e -> new Entry());
+        if (!entry.holder.equals(report.holder()) && state.slices().isRetired(report.holder())) {
+            sendRetired(report);
+            return;
+        }
+        if (!entry.holder.equals(report.holder())) {
+            entry.slices = new HashMap<>();
+            entry.documentSentVersion = 0;
+        }
+        entry.holder = report.holder();
+        entry.heardMillis = timers.nowMillis();
+        entry.version = report.configurationVersion();
+        entry.tableEpoch = report.tableEpoch();
+        entry.tableRevision = report.tableEpoch() == epoch ? report.tableRevision() : 0;
+        entry.leaving = report.leaving();
+        boolean isShort = false;
+        for (SliceStatus status : report.slices()) {
+            entry.slices.put(status.customer(), status);
+            isShort |= status.shortage() > 0;
+        }
+        if (raft.isLeader() && (isShort || report.leaving())) {
+            planSlices();
+        }
+        push(report.from(), entry);
+    }
+
+    private void sendRetired(EntryReport report) {
+        Entry blank = new Entry();
+        blank.holder = report.holder();
+        transport.send(report.from(), update(blank, true, List.of()));
+    }
+
+    private void tick() {
+        long now = timers.nowMillis();
+        if (raft.isLeader()) {
+            planSlices();
+        }
+        if (now - lastShareMillis >= SHARE_MILLIS) {
+            lastShareMillis = now;
+            share(upstreams.heardSince(now - SHARE_MILLIS));
+            upstreams.forgetOld(now);
+        }
+    }
+
+    private boolean isLive(Entry entry) {
+        return timers.nowMillis() - entry.heardMillis < LIVE_MILLIS;
+    }
+
+    private int liveEntries() {
+        int count = 0;
+        for (Entry entry : entries.values()) {
+            count += isLive(entry) && !entry.leaving ? 1 : 0;
+        }
+        return count;
+    }
+
+    private void planSlices() {
+        if (changePending || state.configuration().version() == 0) {
+            return;
+        }
+        SliceTable table = state.slices();
+        List<SliceReturn> returns = new ArrayList<>();
+        List<SlicePlanner.Holder> holders = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (!isLive(entry)) {
+                continue;
+            }
+            for (SliceStatus status : entry.slices.values()) {
+                SliceTotals totals = table.totals(entry.holder, status.customer());
+                if (status.returned() > totals.returned()) {
+                    returns.add(
+                            new SliceReturn(entry.holder, status.customer(), status.returned()));
+                }
+            }
+            if (!entry.leaving) {
+                holders.add(new SlicePlanner.Holder(entry.holder, entry.slices));
+            }
+        }
+        SlicePlanner.Plan plan = SlicePlanner.plan(table, holders);
+        for (Entry entry : entries.values()) {
+            entry.recalls = plan.recalls().getOrDefault(entry.holder, Map.of());
+        }
+        List<String> retired = replacedHolders(table);
+        List<SliceIssue> issues = plan.issues();
+        if (!returns.isEmpty() || !retired.isEmpty() || !issues.isEmpty()) {
+            propose(new SliceChange(returns, retired, issues));
+        }
+    }
+
+    /** Returns the holders whose address another incarnation has reported from since. */
+    private List<String> replacedHolders(SliceTable table) {
+        List<String> replaced = new ArrayList<>();
+        for (String holder : table.holders()) {
+            Entry successor = entries.get(Addresses.instanceOf(holder));
+            if (successor != null && !successor.holder.equals(holder)) {
+                replaced.add(holder);
+            }
+        }
+        return replaced;
+    }
+
+    private void propose(SliceChange change) {
+        changePending = true;
+        raft.propose(
+                change,
+                new Proposal() {
+                    @Override
+                    public void applied(Object outcome) {
+                        changePending = false;
+                    }
+
+                    @Override
+                    public void lost() {
+                        changePending = false;
+                    }
+                });
+    }
+
+    private void share(List<Heartbeat> heartbeats) {
+        if (heartbeats.isEmpty()) {
+            return;
+        }
+        HeartbeatShare share = new HeartbeatShare(heartbeats);
+        for (String control : controls()) {
+            if (!control.equals(self)) {
+                transport.send(control, share);
+            }
+        }
+    }
+
+    private List<String> controls() {
+        Set<String> addresses = new LinkedHashSet<>();
+        for (Member member : raft.members()) {
+            addresses.add(Addresses.instanceOf(member.id()));
+        }
+        return new ArrayList<>(addresses);
+    }
+
+    private void schedulePush() {
+        if (!pushPending) {
+            pushPending = true;
+            timers.schedule(0, this::pushAll);
+        }
+    }
+
+    private void pushAll() {
+        pushPending = false;
+        entries.forEach(
+                (address, entry) -> {
+                    if (isLive(entry)) {
+                        push(address, entry);
+                    }
+                });
+    }
+
+    private void push(String address, Entry entry) {
+        transport.send(address, update(entry, false, grants(entry)));
+    }
+
+    private FleetUpdate update(Entry entry, boolean retired, List<SliceGrant> grants) {
+        long now = timers.nowMillis();
+        ConfigurationDocument held = state.configuration();
+        boolean lacks = entry.version < held.version();
+        boolean sent =
+                entry.documentSentVersion == held.version()
+                        && now - entry.documentSentMillis < RESEND_MILLIS;
+        byte[] document = null;
+        if (lacks && !sent && !retired) {
+            document = held.document();
+            entry.documentSentVersion = held.version();
+            entry.documentSentMillis = now;
+        }
+        List<String> heard = new ArrayList<>();
+        for (Heartbeat heartbeat : upstreams.heardSince(now - HEARD_MILLIS)) {
+            heard.add(heartbeat.id());
+        }
+        String leader = raft.leader();
+        return new FleetUpdate(
+                self,
+                entry.holder,
+                retired,
+                leader.isEmpty() ? "" : Addresses.instanceOf(leader),
+                controls(),
+                liveEntries(),
+                held.version(),
+                document,
+                epoch,
+                upstreams.revision(),
+                upstreams.changedSince(entry.tableRevision),
+                heard,
+                grants);
+    }
+
+    private List<SliceGrant> grants(Entry entry) {
+        List<SliceGrant> grants = new ArrayList<>();
+        if (!raft.isLeader() || entry.slices.isEmpty() && entry.version == 0) {
+            return grants;
+        }
+        SliceTable table = state.slices();
+        for (String customer : table.prepaid().keySet()) {
+            SliceStatus status = entry.slices.get(customer);
+            long issued = table.totals(entry.holder, customer).issued();
+            long recall = entry.recalls.getOrDefault(customer, 0L);
+            long left = left(customer);
+            boolean news = status == null || status.issuedKnown() != issued || recall > 0;
+            if (news || left < table.prepaid().getOrDefault(customer, 0L) / 10) {
+                grants.add(new SliceGrant(customer, issued, left, recall));
+            }
+        }
+        entry.recalls = Map.of();
+        return grants;
+    }
+
+    /** Returns the prepaid tokens less all that is known to be spent. */
+    private long left(String customer) {
+        SliceTable table = state.slices();
+        long spent = table.consumed(customer);
+        for (Entry entry : entries.values()) {
+            SliceStatus status = entry.slices.get(customer);
+            if (status != null && !table.isRetired(entry.holder)) {
+                spent += status.spent();
+            }
+        }
+        return table.prepaid().getOrDefault(customer, 0L) - spent;
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
@@ -0,0 +1,219 @@
+package dev.jayturn.core.fleet;
+
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.slice.SliceAccounts;
+import dev.jayturn.core.slice.SliceGrant;
+import dev.jayturn.core.slice.SliceStatus;
+import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.transport.Message;
+import dev.jayturn.core.transport.Transport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** An entry instance's side of the fleet: what it has heard of control, and its slices. */
+public final class FleetEntry {
+    private static final long REPORT_MILLIS = 400;
+
+    /** A shortage is reported at once, but not more often than this. */
+    private static final long URGENT_MILLIS = 40;
+
+    /** Control instances that are not listed any more are forgotten after this time. */
+    private static final long FORGET_MILLIS = 10_000;
+
+    /** Without an update for so long the instance counts itself as cut off. */
+    private static final long TOUCH_MILLIS = 1_500;
+
+    private final String self;
+    private final List<String> seeds;
+    private final Transport transport;
+    private final TimerService timers;
+    private final RandomSource random;
+    private final FleetListener listener;
+    private final SliceAccounts slices = new SliceAccounts();
+    private final Map<String, Control> controls = new LinkedHashMap<>();
+    private final Map<String, Long> heardMillis = new HashMap<>();
+    private String holder;
+    private String leader = "";
+    private long leaderHeardMillis = Long.MIN_VALUE / 2;
+    private long version;
+    private int entries = 1;
+    private long lastReportMillis;
+    private boolean urgent;
+    private boolean leaving;
+    private boolean heardLeader;
+
+    private static final class Control {
+        long epoch;
+        long revision;
+        long heardMillis;
+    }
+
+    public FleetEntry(
+            String self,
+            List<String> seeds,
+            Transport transport,
+            TimerService timers,
+            RandomSource random,
+            FleetListener listener) {
+        this.self = self;
+        this.seeds = List.copyOf(seeds);
+        this.transport = transport;
+        this.timers = timers;
+        this.random = random;
+        this.listener = listener;
+        this.holder = newHolder();
+        for (String seed : seeds) {
+            controls.put(seed, new Control());
+        }
+        timers.every(REPORT_MILLIS, this::report);
+        timers.schedule(0, this::report);
+    }
+
+    private String newHolder() {
+        return self + '#' + Long.toHexString(random.nextLong());
+    }
+
+    /** Returns the slices that this instance spends from. */
+    public SliceAccounts slices() {
+        return slices;
+    }
+
+    /** Returns the number of live entry instances that control last spoke of. */
+    public int entries() {
+        return entries;
+    }
+
+    /** Returns whether a configuration and a leader have been heard of in this life. */
+    public boolean isSynced() {
+        return version > 0 && heardLeader;
+    }
+
+    /** Returns whether the leader has been heard of lately. */
+    public boolean isInTouch() {
+        return timers.nowMillis() - leaderHeardMillis < TOUCH_MILLIS;
+    }
+
+    /** Returns when some control instance last listed an upstream as heard of; 0 if none did. */
+    public long upstreamHeardMillis(String id) {
+        return heardMillis.getOrDefault(id, 0L);
+    }
+
+    /** Returns when any control instance was last heard of. */
+    public long controlHeardMillis() {
+        long newest = 0;
+        for (Control control : controls.values()) {
+            newest = Math.max(newest, control.heardMillis);
+        }
+        return newest;
+    }
+
+    /** Asks for tokens that a request lacks. */
+    public void requestTokens(String customer, long tokens) {
+        slices.noteShortage(customer, tokens);
+        if (!urgent) {
+            urgent = true;
+            long wait = Math.max(0, lastReportMillis + URGENT_MILLIS - timers.nowMillis());
+            timers.schedule(wait, this::report);
+        }
+    }
+
+    /** Gives all free tokens back; call once nothing more will be spent. */
+    public void leave() {
+        leaving = true;
+        slices.returnAll();
+        report();
+    }
+
+    private void report() {
+        long now = timers.nowMillis();
+        urgent = false;
+        lastReportMillis = now;
+        List<SliceStatus> statuses = slices.report(now);
+        boolean knowsLeader = controls.containsKey(leader) && isInTouch();
+        controls.forEach(
+                (address, control) -> {
+                    boolean full = address.equals(leader) || !knowsLeader;
+                    transport.send(
+                            address,
+                            new EntryReport(
+                                    self,
+                                    holder,
+                                    version,
+                                    control.epoch,
+                                    control.revision,
+                                    full ? statuses : List.of(),
+                                    leaving));
+                });
+    }
+
+    /** Handles a message from a control instance. */
+    public void handle(Message message) {
+        if (message instanceof FleetUpdate update && update.holder().equals(holder)) {
+            onUpdate(update);
+        }
+    }
+
+    private void onUpdate(FleetUpdate update) {
+        long now = timers.nowMillis();
+        if (update.retired()) {
+            holder = newHolder();
+            slices.startAnew();
+            return;
+        }
+        Control control = controls.computeIfAbsent(update.from(), c -> new Control());
+        control.heardMillis = now;
+        updateControls(update.controls(), now);
+        if (!update.leader().isEmpty()) {
+            leader = update.leader();
+            heardLeader = true;
+            entries = Math.max(1, update.entries());
+        }
+        if (update.from().equals(update.leader())) {
+            leaderHeardMillis = now;
+        }
+        for (String id : update.heard()) {
+            heardMillis.put(id, now);
+        }
+        for (Heartbeat heartbeat : update.upstreams()) {
+            listener.onUpstream(heartbeat);
+        }
+        control.epoch = update.tableEpoch();
+        control.revision = update.tableRevision();
+        byte[] document = update.document();
+        if (document != null && update.version() > version) {
+            version = update.version();
+            listener.onConfiguration(new ConfigurationDocument(version, document));
+        }
+        for (SliceGrant grant : update.grants()) {
+            slices.accept(grant, now);
+        }
+        if (!update.grants().isEmpty()) {
+            listener.onSlices();
+        }
+    }
+
+    private void updateControls(List<String> listed, long now) {
+        if (listed.isEmpty()) {
+            return;
+        }
+        for (String address : listed) {
+            controls.computeIfAbsent(address, c -> new Control());
+        }
+        Set<String> known = new HashSet<>(listed);
+        known.addAll(seeds);
+        List<String> old = new ArrayList<>();
+        controls.forEach(
+                (address, control) -> {
+                    if (!known.contains(address) && now - control.heardMillis > FORGET_MILLIS) {
+                        old.add(address);
+                    }
+                });
+        old.forEach(controls::remove);
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetState.java
@@ -0,0 +1,71 @@
+package dev.jayturn.core.fleet;
+
+import dev.jayturn.core.consensus.Command;
+import dev.jayturn.core.consensus.StateMachine;
+import dev.jayturn.core.journal.JournalRecord;
+import dev.jayturn.core.slice.SliceChange;
+import dev.jayturn.core.slice.SliceTable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The state that the control instances agree on: the configuration in force and the slices. */
+public final class FleetState implements StateMachine {
+    private final SliceTable slices = new SliceTable();
+    private ConfigurationDocument configuration = ConfigurationDocument.NONE;
+    private Runnable onChange = () -> {};
+
+    /** Sets what is called after each change. */
+    public void onChange(Runnable listener) {
+        onChange = listener;
+    }
+
+    /** Returns the configuration in force. */
+    public ConfigurationDocument configuration() {
+        return configuration;
+    }
+
+    /** Returns the slices. */
+    public SliceTable slices() {
+        return slices;
+    }
+
+    @Override
+    public Object apply(long index, Command command) {
+        if (command instanceof PutConfiguration put && put.version() > configuration.version()) {
+            configuration = new ConfigurationDocument(put.version(), put.document());
+            slices.setPrepaid(put.prepaid());
+            onChange.run();
+        } else if (command instanceof SliceChange change) {
+            slices.apply(change);
+            onChange.run();
+        }
+        return configuration.version();
+    }
+
+    @Override
+    public List<JournalRecord> snapshot() {
+        List<JournalRecord> items = new ArrayList<>();
+        items.add(
+                new ConfigurationStored(
+                        configuration.version(), configuration.document(), slices.prepaid()));
+        items.addAll(slices.snapshot());
+        return items;
+    }
+
+    @Override
+    public void restore(List<JournalRecord> items) {
+        configuration = ConfigurationDocument.NONE;
+        slices.setPrepaid(Map.of());
+        slices.clear();
+        for (JournalRecord item : items) {
+            if (item instanceof ConfigurationStored stored) {
+                configuration = new ConfigurationDocument(stored.version(), stored.document());
+                slices.setPrepaid(stored.prepaid());
+            } else {
+                slices.restore(item);
+            }
+        }
+        onChange.run();
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
@@ -0,0 +1,40 @@
+package dev.jayturn.core.fleet;
+
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.slice.SliceGrant;
+import dev.jayturn.core.transport.Message;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a control instance tells an entry instance: changes at once, else in answer to reports.
+ *
+ * @param from link address of the control instance
+ * @param holder the incarnation that is meant
+ * @param retired whether that incarnation was retired and must take another
+ * @param leader link address of the leader; empty if none is known
+ * @param controls link addresses of all control instances
+ * @param entries number of live entry instances
+ * @param version version of the configuration in force here
+ * @param document the configuration, if the entry instance lacks it
+ * @param tableEpoch life of the sender's table of upstreams
+ * @param tableRevision revision that the changes lead to
+ * @param upstreams upstreams that changed
+ * @param heard ids of upstreams that were heard of lately
+ * @param grants slices, from the leader only
+ */
+public record FleetUpdate(
+        String from,
+        String holder,
+        boolean retired,
+        String leader,
+        List<String> controls,
+        int entries,
+        long version,
+        byte @Nullable [] document,
+        long tableEpoch,
+        long tableRevision,
+        List<Heartbeat> upstreams,
+        List<String> heard,
+        List<SliceGrant> grants)
+        implements Message {}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceStored.java
@@ -0,0 +1,7 @@
+package dev.jayturn.core.slice;
+
+import dev.jayturn.core.journal.JournalRecord;
+
+/** Snapshot: a holder's totals for a customer. */
+public record SliceStored(String holder, String customer, long issued, long returned)
+        implements JournalRecord {}
--- a/jayturn-core/src/test/java/dev/jayturn/core/scenario/ControlInstance.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/scenario/ControlInstance.java
@@ -66,7 +66,13 @@
         state = new ControlState();
         PublishedRules rules = new PublishedRules(state);
         RaftConfig config =
-                new RaftConfig(id(), fleet.controlNames(), init, 500, 100, SNAPSHOT_ENTRIES);
+                new RaftConfig(
+                        id(),
+                        fleet.controlNames(),
+                        init ? List.of(id()) : List.of(),
+                        500,
+                        100,
+                        SNAPSHOT_ENTRIES);
         RaftNode raft =
                 new RaftNode(
                         config,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlPart.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlPart.java
@@ -56,7 +56,7 @@
                 new RaftConfig(
                         id,
                         seeds,
-                        initCluster || seeds.isEmpty(),
+                        initCluster || seeds.isEmpty() ? List.of(id) : List.of(),
                         settings.number(SettingKey.ELECTION),
                         settings.number(SettingKey.HEARTBEAT),
                         (int) settings.number(SettingKey.SNAPSHOT));
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/CallServer.java
@@ -0,0 +1,99 @@
+package dev.jayturn.daemon.fleet;
+
+import dev.jayturn.daemon.link.Listeners;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+
+/** A small HTTP server for calls whose bodies are taken whole. */
+final class CallServer {
+    private static final int MAX_BODY_BYTES = 8 << 20;
+    private static final int IDLE_SECONDS = 30;
+
+    private final EventLoop loop;
+    private final HttpCalls calls;
+
+    CallServer(EventLoop loop, HttpCalls calls) {
+        this.loop = loop;
+        this.calls = calls;
+    }
+
+    void listen(InetSocketAddress address) {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        channel.pipeline()
+                                                .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+                                                .addLast(new HttpServerCodec())
+                                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                                .addLast(new Handler());
+                                    }
+                                });
+        Listeners.bind(bootstrap, address);
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (request.decoderResult().isFailure()) {
+                ctx.close();
+                return;
+            }
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            calls.handle(request, (status, json) -> answer(ctx, keepAlive, status, json));
+        }
+
+        private void answer(ChannelHandlerContext ctx, boolean keepAlive, int status, byte[] json) {
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(status),
+                            Unpooled.wrappedBuffer(json));
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, json.length);
+            if (keepAlive) {
+                ctx.writeAndFlush(response);
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -0,0 +1,192 @@
+package dev.jayturn.daemon.fleet;
+
+import dev.jayturn.core.configuration.Configuration;
+import dev.jayturn.core.configuration.ConfigurationException;
+import dev.jayturn.core.configuration.Engine;
+import dev.jayturn.core.configuration.RouteTable;
+import dev.jayturn.core.configuration.Service;
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.dispatch.Dispatcher;
+import dev.jayturn.core.dispatch.ExpectedTimePlacement;
+import dev.jayturn.core.dispatch.UpstreamBook;
+import dev.jayturn.core.fleet.ConfigurationDocument;
+import dev.jayturn.core.fleet.FleetEntry;
+import dev.jayturn.core.fleet.FleetListener;
+import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.transport.Message;
+import dev.jayturn.daemon.eventlog.EventLog;
+import dev.jayturn.daemon.link.LinkTransport;
+import dev.jayturn.daemon.link.LoopTimers;
+import dev.jayturn.daemon.loop.ThreadRandom;
+import dev.jayturn.daemon.proxy.CallerCodec;
+import dev.jayturn.daemon.proxy.Forwarder;
+import dev.jayturn.daemon.proxy.ProxyServer;
+import dev.jayturn.daemon.settings.SettingKey;
+import dev.jayturn.daemon.settings.Settings;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CountDownLatch;
+import org.jspecify.annotations.Nullable;
+
+/** An entry instance: serves callers from what it has heard of the control instances. */
+public final class EntryProcess implements FleetListener {
+    /** Time for the balancer to notice that the instance is not ready: two checks of a second. */
+    private static final long UNREADY_MILLIS = 2_500;
+
+    private static final long DRAIN_POLL_MILLIS = 50;
+
+    /** Taken off the grace period, so that the process ends by itself. */
+    private static final long GRACE_MARGIN_MILLIS = 500;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /** Time for the last report to leave, in milliseconds. */
+    private static final long FAREWELL_MILLIS = 150;
+
+    private final Settings settings;
+    private final EventLoop loop;
+    private final ConfigurationCodec codec;
+    private final EventLog log;
+    private final LoopTimers timers;
+    private final Forwarder forwarder;
+    private final ProxyServer server;
+    private final RandomSource random = new ThreadRandom();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private @Nullable FleetEntry fleet;
+    private @Nullable RouteTable routes;
+
+    public EntryProcess(
+            Settings settings,
+            EventLoop loop,
+            ConfigurationCodec codec,
+            CallerCodec callerCodec,
+            EventLog log) {
+        this.settings = settings;
+        this.loop = loop;
+        this.codec = codec;
+        this.log = log;
+        this.timers = new LoopTimers(loop);
+        UpstreamBook book = new UpstreamBook(this::cacheTokens);
+        Dispatcher dispatcher =
+                new Dispatcher(
+                        book, new ExpectedTimePlacement(FleetSettings.place(settings), random));
+        Forwarder.RetryBounds bounds =
+                new Forwarder.RetryBounds(
+                        (long)
+                                (settings.decimal(SettingKey.FLEET_RETRY_WINDOW)
+                                        * MILLIS_PER_SECOND),
+                        settings.decimal(SettingKey.FLEET_RETRY_RATIO),
+                        settings.decimal(SettingKey.FLEET_RETRY_SLACK));
+        this.forwarder =
+                new Forwarder(loop, timers, callerCodec, random, log, book, dispatcher, bounds);
+        this.server = new ProxyServer(loop, forwarder);
+    }
+
+    /** Starts; call on the event loop. */
+    public void start(HttpCalls readyCalls) {
+        String self = FleetSettings.linkName(settings);
+        LinkTransport transport = new LinkTransport(self, loop, timers, this::onMessage);
+        transport.listen(settings.address(SettingKey.FLEET_LISTEN));
+        FleetEntry entry =
+                new FleetEntry(
+                        self, FleetSettings.seeds(settings), transport, timers, random, this);
+        fleet = entry;
+        forwarder.join(entry);
+        server.listen(settings.address(SettingKey.FLEET_CALLERS));
+        new CallServer(loop, readyCalls).listen(settings.address(SettingKey.FLEET_READY));
+        log.event("entry.started", json -> json.writeStringField("instance", self));
+    }
+
+    private void onMessage(Message message) {
+        FleetEntry entry = fleet;
+        if (entry != null) {
+            entry.handle(message);
+        }
+    }
+
+    private long cacheTokens(String service) {
+        RouteTable table = routes;
+        Service found = table == null ? null : table.service(service);
+        Engine engine = found == null ? null : found.engine();
+        return engine == null ? 0 : engine.cacheTokens();
+    }
+
+    @Override
+    public void onConfiguration(ConfigurationDocument document) {
+        try {
+            Configuration configuration = codec.decode(Documents.unpack(document.document()));
+            RouteTable table = new RouteTable(configuration);
+            routes = table;
+            forwarder.obey(table);
+            log.event(
+                    "configuration.obeyed",
+                    json -> json.writeNumberField("version", configuration.version()));
+        } catch (ConfigurationException e) {
+            log.event(
+                    "configuration.unreadable",
+                    json -> {
+                        json.writeNumberField("version", document.version());
+                        json.writeStringField("reason", String.valueOf(e.getMessage()));
+                    });
+        }
+    }
+
+    @Override
+    public void onUpstream(Heartbeat heartbeat) {
+        forwarder.onUpstream(heartbeat);
+        log.event(
+                "upstream.changed",
+                json -> {
+                    json.writeStringField("upstream", heartbeat.id());
+                    json.writeStringField("state", heartbeat.state().name());
+                    json.writeStringField("address", heartbeat.address());
+                });
+    }
+
+    @Override
+    public void onSlices() {
+        forwarder.onSlices();
+    }
+
+    /** Returns whether new callers may be sent here. */
+    public boolean isReady() {
+        FleetEntry entry = fleet;
+        return entry != null && entry.isSynced() && !forwarder.isDraining();
+    }
+
+    /** Lets the balancer move on first, then finishes what is open; call on the event loop. */
+    public void drain() {
+        if (forwarder.isDraining()) {
+            return;
+        }
+        log.event("entry.draining", json -> json.writeNumberField("open", forwarder.open()));
+        forwarder.drain();
+        timers.schedule(UNREADY_MILLIS, this::finish);
+        long grace = (long) (settings.decimal(SettingKey.FLEET_GRACE) * MILLIS_PER_SECOND);
+        timers.schedule(grace - GRACE_MARGIN_MILLIS, this::farewell);
+    }
+
+    private void finish() {
+        server.close();
+        server.closeIdle();
+        timers.every(
+                DRAIN_POLL_MILLIS,
+                () -> {
+                    if (forwarder.open() == 0 && server.connections() == 0) {
+                        farewell();
+                    }
+                });
+    }
+
+    private void farewell() {
+        FleetEntry entry = fleet;
+        if (entry != null) {
+            entry.leave();
+        }
+        timers.schedule(FAREWELL_MILLIS, drained::countDown);
+    }
+
+    /** Waits until a drain is done. */
+    public void awaitDrained() throws InterruptedException {
+        drained.await();
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/HttpReply.java
@@ -0,0 +1,7 @@
+package dev.jayturn.daemon.fleet;
+
+/** Answers one call, once. */
+public interface HttpReply {
+    /** Sends a status and a JSON body. */
+    void send(int status, byte[] json);
+}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/StoreIdentity.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/StoreIdentity.java
@@ -13,23 +13,29 @@
 public final class StoreIdentity {
     private static final String FILE = "store-id";
 
+    private static final int RANDOM_LENGTH = 13;
+
     private StoreIdentity() {}
 
-    /** Returns the folder's identity, made on first use. */
+    /** Returns the folder's identity, made at random on first use. */
     public static String of(Path folder) throws IOException {
+        return of(folder, UUID.randomUUID().toString().substring(0, RANDOM_LENGTH));
+    }
+
+    /** Returns the folder's identity, which is the one given on first use. */
+    public static String of(Path folder, String fresh) throws IOException {
         Files.createDirectories(folder);
         Path file = folder.resolve(FILE);
         if (Files.exists(file)) {
             return Files.readString(file, StandardCharsets.UTF_8).trim();
         }
-        String id = UUID.randomUUID().toString().substring(0, 13);
         Path temporary = folder.resolve(FILE + ".new");
-        Files.writeString(temporary, id, StandardCharsets.UTF_8);
+        Files.writeString(temporary, fresh, StandardCharsets.UTF_8);
         try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
             channel.force(true);
         }
         Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
         FileJournal.syncFolder(file);
-        return id;
+        return fresh;
     }
 }
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
@@ -0,0 +1,172 @@
+package dev.jayturn.daemon.link;
+
+import com.google.common.flogger.FluentLogger;
+import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.transport.Addresses;
+import dev.jayturn.core.transport.Message;
+import dev.jayturn.core.transport.Transport;
+import dev.jayturn.wire.MessageCodec;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Sends messages to instances named by their link address. An instance dials each one that it sends
+ * to; answers come on a connection of the other's own. A connection on which a ping stays without
+ * its pong is given up, since a silent one looks like an idle one.
+ */
+public final class LinkTransport implements Transport {
+    static final byte MESSAGE = 0;
+    static final byte PING = 1;
+    static final byte PONG = 2;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_FRAME_BYTES = 32 << 20;
+    private static final int LENGTH_BYTES = 4;
+    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+
+    /** A connection that was not used for so long is closed. */
+    private static final long IDLE_MILLIS = 15_000;
+
+    private static final long SWEEP_MILLIS = 500;
+
+    private final String self;
+    private final EventLoop loop;
+    private final TimerService timers;
+    private final Consumer<Message> sink;
+    private final Map<String, LinkConnection> connections = new HashMap<>();
+    private long sentBytes;
+
+    /** Creates a transport; messages for this instance itself go straight to the sink. */
+    public LinkTransport(String self, EventLoop loop, TimerService timers, Consumer<Message> sink) {
+        this.self = self;
+        this.loop = loop;
+        this.timers = timers;
+        this.sink = sink;
+        timers.every(SWEEP_MILLIS, this::sweep);
+    }
+
+    /** Starts to listen. */
+    public void listen(InetSocketAddress address) {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        initFrames(channel);
+                                        channel.pipeline().addLast(new Inbound());
+                                    }
+                                });
+        Listeners.bind(bootstrap, address);
+    }
+
+    /** Returns the bytes of messages sent. */
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    @Override
+    public void send(String to, Message message) {
+        String instance = Addresses.instanceOf(to);
+        if (instance.equals(self)) {
+            loop.execute(() -> sink.accept(message));
+            return;
+        }
+        byte[] body = MessageCodec.encode(message);
+        sentBytes += body.length;
+        LinkConnection connection = connections.get(instance);
+        if (connection == null || connection.isClosed()) {
+            if (connection != null && !connection.mayRedial(timers.nowMillis())) {
+                return;
+            }
+            connection = new LinkConnection(timers);
+            connections.put(instance, connection);
+            dial(instance, connection);
+        }
+        connection.send(body);
+    }
+
+    private void dial(String instance, LinkConnection connection) {
+        int colon = instance.lastIndexOf(':');
+        InetSocketAddress address =
+                new InetSocketAddress(
+                        instance.substring(0, colon),
+                        Integer.parseInt(instance.substring(colon + 1)));
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                initFrames(channel);
+                                channel.pipeline().addLast(connection);
+                            }
+                        })
+                .connect(address)
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                connection.failed();
+                            }
+                        });
+    }
+
+    private static void initFrames(Channel channel) {
+        channel.pipeline()
+                .addLast(
+                        new LengthFieldBasedFrameDecoder(
+                                MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES));
+    }
+
+    private void sweep() {
+        long now = timers.nowMillis();
+        connections.values().removeIf(c -> c.isClosed() && c.mayRedial(now));
+        for (LinkConnection connection : connections.values()) {
+            connection.check(now, IDLE_MILLIS);
+        }
+    }
+
+    private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
+            byte type = frame.readByte();
+            if (type == PING) {
+                ctx.writeAndFlush(ctx.alloc().buffer(1).writeByte(PONG));
+                return;
+            }
+            byte[] body = new byte[frame.readableBytes()];
+            frame.readBytes(body);
+            sink.accept(MessageCodec.decodeMessage(body));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOGGER.atFine().withCause(cause).log("link: A connection failed.");
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
@@ -0,0 +1,14 @@
+package dev.jayturn.daemon.proxy;
+
+import dev.jayturn.core.dispatch.Work;
+
+/**
+ * What a caller's request head says.
+ *
+ * @param id names the request; empty if the caller gave none
+ * @param key the customer's key; empty if there is none
+ * @param deadlineMillis how long the caller waits; 0 if it did not say
+ * @param lastEventId event after which a stream goes on; empty for a new one
+ */
+public record CallerRequest(
+        String id, String key, long deadlineMillis, Work work, String lastEventId) {}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -0,0 +1,69 @@
+package dev.jayturn.daemon.proxy;
+
+import dev.jayturn.core.dispatch.Dispatcher;
+import dev.jayturn.core.dispatch.UpstreamLoad;
+import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.daemon.eventlog.EventLog;
+
+/** The log lines of one request, which all bear its id. */
+final class ExchangeLog {
+    private final EventLog log;
+    private final String requestId;
+    private long firstMillis = -1;
+
+    ExchangeLog(EventLog log, String requestId) {
+        this.log = log;
+        this.requestId = requestId;
+    }
+
+    void placed(Dispatcher.Decision decision, UpstreamLoad upstream) {
+        log.event(
+                "placement.chosen",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeStringField("upstream", upstream.heartbeat().id());
+                    json.writeNumberField("expected", (long) decision.expectedMillis());
+                    json.writeNumberField("candidates", decision.candidates());
+                    json.writeNumberField("inFlight", upstream.inFlight());
+                    json.writeNumberField("waitingTokens", upstream.waitingTokens());
+                });
+    }
+
+    void answered(long afterMillis) {
+        if (firstMillis < 0) {
+            firstMillis = afterMillis;
+        }
+    }
+
+    void failed(UpstreamLoad upstream, Attempt.Failure failure) {
+        log.event(
+                "attempt.failed",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeStringField("upstream", upstream.heartbeat().id());
+                    json.writeStringField("failure", failure.name());
+                });
+    }
+
+    void ended(
+            ResultCode code,
+            String route,
+            String customer,
+            long tookMillis,
+            int sends,
+            long events) {
+        log.event(
+                "request.ended",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeNumberField("code", code.number());
+                    json.writeStringField("reason", code.text());
+                    json.writeStringField("route", route);
+                    json.writeStringField("customer", customer);
+                    json.writeNumberField("sends", sends);
+                    json.writeNumberField("first", firstMillis);
+                    json.writeNumberField("took", tookMillis);
+                    json.writeNumberField("events", events);
+                });
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -0,0 +1,104 @@
+package dev.jayturn.daemon.proxy;
+
+import dev.jayturn.daemon.link.Listeners;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Listens for callers. */
+public final class ProxyServer {
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_LINE_BYTES = 16_384;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    /** Bytes held for a caller that does not read, before its upstream is not read either. */
+    private static final int HIGH_WATER_BYTES = 128 * 1_024;
+
+    private static final int LOW_WATER_BYTES = 32 * 1_024;
+    private static final long IDLE_CHECK_MILLIS = 500;
+
+    private final EventLoop loop;
+    private final Forwarder forwarder;
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private @Nullable Channel listener;
+
+    public ProxyServer(EventLoop loop, Forwarder forwarder) {
+        this.loop = loop;
+        this.forwarder = forwarder;
+        forwarder.timers().every(IDLE_CHECK_MILLIS, this::checkIdle);
+    }
+
+    /** Starts to listen. */
+    public void listen(InetSocketAddress address) {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        init(channel);
+                                    }
+                                });
+        listener = Listeners.bind(bootstrap, address);
+    }
+
+    private void init(Channel channel) {
+        int maxHeaderBytes = forwarder.limits().maxHeaderBytes();
+        channel.pipeline()
+                .addLast(new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
+                .addLast(new CallerConnection(forwarder, this));
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void checkIdle() {
+        long now = forwarder.timers().nowMillis();
+        for (CallerConnection connection : new ArrayList<>(connections)) {
+            connection.checkIdle(now);
+        }
+    }
+
+    /** Closes connections as they fall idle; new ones are still taken. */
+    public void closeIdle() {
+        for (CallerConnection connection : new ArrayList<>(connections)) {
+            connection.closeWhenIdle();
+        }
+    }
+
+    /** Takes no new connections. */
+    public void close() {
+        Channel open = listener;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
@@ -0,0 +1,107 @@
+package dev.jayturn.daemon.proxy;
+
+import dev.jayturn.core.fleet.FleetEntry;
+import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.slice.SliceAccounts;
+import dev.jayturn.core.timer.Subscription;
+import org.jspecify.annotations.Nullable;
+
+/** The tokens held for one request, from the slice of this instance. */
+final class TokenHold {
+    /** How long a request waits for tokens that others hold, in milliseconds. */
+    private static final long WAIT_MILLIS = 250;
+
+    /** Budget figures older than this do not prove that a budget is spent. */
+    private static final long LEFT_AGE_MILLIS = 1_500;
+
+    private final Forwarder forwarder;
+    private final FleetEntry fleet;
+    private final String customer;
+    private final long tokens;
+    private final Outcome outcome;
+    private SliceAccounts.@Nullable Reservation reservation;
+    private @Nullable Subscription wait;
+    private boolean over;
+
+    /** Told once whether the tokens could be had. */
+    interface Outcome {
+        void held();
+
+        void refused(ResultCode code);
+    }
+
+    TokenHold(
+            Forwarder forwarder, FleetEntry fleet, String customer, long tokens, Outcome outcome) {
+        this.forwarder = forwarder;
+        this.fleet = fleet;
+        this.customer = customer;
+        this.tokens = tokens;
+        this.outcome = outcome;
+    }
+
+    /** Takes the tokens; if they are short, asks for more and waits while anybody may have some. */
+    void take() {
+        if (tryReserve()) {
+            return;
+        }
+        fleet.requestTokens(customer, tokens);
+        if (isSpent() || !fleet.isInTouch()) {
+            refuse();
+            return;
+        }
+        wait = forwarder.timers().schedule(WAIT_MILLIS, this::refuse);
+        forwarder.awaitTokens(this::retry);
+    }
+
+    private boolean tryReserve() {
+        if (!fleet.slices().hasFree(customer, tokens)) {
+            return false;
+        }
+        reservation = fleet.slices().reserve(customer, tokens);
+        outcome.held();
+        return true;
+    }
+
+    private void retry() {
+        if (over || reservation != null) {
+            return;
+        }
+        if (tryReserve()) {
+            cancelWait();
+        } else if (isSpent()) {
+            refuse();
+        } else {
+            forwarder.awaitTokens(this::retry);
+        }
+    }
+
+    private boolean isSpent() {
+        long since = forwarder.timers().nowMillis() - LEFT_AGE_MILLIS;
+        return fleet.isInTouch() && fleet.slices().isKnownSpent(customer, tokens, since);
+    }
+
+    private void refuse() {
+        if (!over) {
+            over = true;
+            cancelWait();
+            outcome.refused(isSpent() ? ResultCode.BUDGET_SPENT : ResultCode.BUDGET_ELSEWHERE);
+        }
+    }
+
+    /** Ends the hold; what was not spent is free again. */
+    void settle(long spent) {
+        over = true;
+        cancelWait();
+        SliceAccounts.Reservation held = reservation;
+        if (held != null) {
+            fleet.slices().settle(held, spent);
+        }
+    }
+
+    private void cancelWait() {
+        Subscription waiting = wait;
+        if (waiting != null) {
+            waiting.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamPool.java
@@ -0,0 +1,141 @@
+package dev.jayturn.daemon.proxy;
+
+import dev.jayturn.core.timer.TimerService;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import jdk.net.ExtendedSocketOptions;
+
+/** Connections to one upstream. */
+final class UpstreamPool {
+    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    /** Probing finds connections that went silent, in seconds and probes. */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
+    private final EventLoop loop;
+    private final TimerService timers;
+    private final CallerCodec codec;
+    private final InetSocketAddress address;
+    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+    private int open;
+
+    UpstreamPool(
+            EventLoop loop, TimerService timers, CallerCodec codec, InetSocketAddress address) {
+        this.loop = loop;
+        this.timers = timers;
+        this.codec = codec;
+        this.address = address;
+    }
+
+    int open() {
+        return open;
+    }
+
+    /** Returns whether a request could be sent without going over a bound on connections. */
+    boolean hasRoom(int maxConnections) {
+        return open < maxConnections || !idle.isEmpty();
+    }
+
+    /** Sends a request on an idle or new connection, which is told to the consumer first. */
+    void send(
+            FullHttpRequest request,
+            String id,
+            UpstreamListener listener,
+            Consumer<UpstreamConnection> onConnection) {
+        long now = timers.nowMillis();
+        UpstreamConnection kept = idle.pollLast();
+        while (kept != null && !kept.isUsable(now)) {
+            kept.channel().close();
+            kept = idle.pollLast();
+        }
+        if (kept != null) {
+            onConnection.accept(kept);
+            kept.send(request, id, listener);
+            return;
+        }
+        open++;
+        ChannelFuture connecting = bootstrap().connect(address);
+        connecting.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        open--;
+                        request.release();
+                        listener.onUnreachable();
+                        return;
+                    }
+                    UpstreamConnection made =
+                            connecting.channel().pipeline().get(UpstreamConnection.class);
+                    onConnection.accept(made);
+                    made.send(request, id, listener);
+                });
+    }
+
+    private Bootstrap bootstrap() {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                        KEEP_ALIVE_IDLE_SECONDS)
+                .option(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+                        KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new HttpClientCodec(
+                                                        MAX_LINE_BYTES,
+                                                        MAX_HEADER_BYTES,
+                                                        MAX_CHUNK_BYTES))
+                                        .addLast(
+                                                new UpstreamConnection(
+                                                        UpstreamPool.this, codec, channel));
+                            }
+                        });
+    }
+
+    void release(UpstreamConnection connection) {
+        connection.setIdleSince(timers.nowMillis());
+        idle.addLast(connection);
+    }
+
+    void closed(UpstreamConnection connection) {
+        open--;
+        idle.remove(connection);
+    }
+
+    /** Closes idle connections that are too old to be used again, or all of them. */
+    void closeIdle(boolean all) {
+        long now = timers.nowMillis();
+        for (UpstreamConnection connection : idle.toArray(new UpstreamConnection[0])) {
+            if (all || !connection.isUsable(now)) {
+                connection.channel().close();
+            }
+        }
+    }
+}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
@@ -38,11 +38,28 @@
     HEARTBEAT("control", "heartbeat", Type.NUMBER, "100", 10, 10000, "milliseconds"),
     SNAPSHOT(
             "control", "snapshot", Type.NUMBER, "20000", 10, 10000000, "entries between snapshots"),
-    ASK_WAIT("control", "ask-wait", Type.NUMBER, "300", 1, 60000, "milliseconds");
+    ASK_WAIT("control", "ask-wait", Type.NUMBER, "300", 1, 60000, "milliseconds"),
+    FLEET_LISTEN(
+            "fleet", "listen", Type.ADDRESS, "127.0.0.1:8084", 0, 0, "other instances' IP:port"),
+    FLEET_SEEDS(
+            "fleet", "seeds", Type.LIST, "", 0, 0, "IPs of control instances, a port is ignored"),
+    FLEET_NEW("fleet", "new", Type.TEXT, "false", 0, 0, "true if no instance has run before"),
+    FLEET_REGIONS("fleet", "regions", Type.LIST, "", 0, 0, "regions as DATA-CENTRE=REGION"),
+    FLEET_CALLERS("fleet", "callers", Type.ADDRESS, "127.0.0.1:8085", 0, 0, "callers' IP:port"),
+    FLEET_READY("fleet", "ready", Type.ADDRESS, "127.0.0.1:8086", 0, 0, "the balancer's IP:port"),
+    FLEET_CONTROL("fleet", "control", Type.ADDRESS, "127.0.0.1:8087", 0, 0, "operators' IP:port"),
+    FLEET_DATA("fleet", "data-folder", Type.TEXT, "data", 0, 0, "folder of the durable state"),
+    FLEET_GRACE("fleet", "grace", Type.DECIMAL, "8", 1, 3600, "seconds from SIGTERM to SIGKILL"),
+    FLEET_RETRY_RATIO("fleet", "retry-ratio", Type.DECIMAL, "0.2", 0, 10, "share of the requests"),
+    FLEET_RETRY_SLACK(
+            "fleet", "retry-slack", Type.DECIMAL, "50", 0, 1000000, "retries beside the ratio"),
+    FLEET_RETRY_WINDOW("fleet", "retry-window", Type.DECIMAL, "10", 1, 600, "seconds"),
+    LOG_LINES("log", "lines-per-second", Type.NUMBER, "100", 0, 100000, "more are counted only");
 
     enum Type {
         TEXT,
         NUMBER,
+        DECIMAL,
         ADDRESS,
         LIST,
         MEMBERS
@@ -95,14 +112,14 @@
 
     /** Returns the range of a number; empty for other types. */
     public String range() {
-        return type == Type.NUMBER ? min + " to " + max : "";
+        return type == Type.NUMBER || type == Type.DECIMAL ? min + " to " + max : "";
     }
 
     Type type() {
         return type;
     }
 
-    boolean isInRange(long value) {
+    boolean isInRange(double value) {
         return value >= min && value <= max;
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/Settings.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/Settings.java
@@ -96,6 +96,9 @@
             case NUMBER:
                 good = isNumber(key, value);
                 break;
+            case DECIMAL:
+                good = isDecimal(key, value);
+                break;
             case ADDRESS:
                 good = isAddress(value);
                 break;
@@ -120,6 +123,14 @@
         }
     }
 
+    private static boolean isDecimal(SettingKey key, String value) {
+        try {
+            return key.isInRange(Double.parseDouble(value));
+        } catch (NumberFormatException e) {
+            return false;
+        }
+    }
+
     private static boolean isMembers(String value) {
         for (String member : Splitter.on(',').trimResults().omitEmptyStrings().split(value)) {
             List<String> parts = Splitter.on('@').splitToList(member);
@@ -177,6 +188,11 @@
         return Long.parseLong(text(key));
     }
 
+    /** Returns a setting as a number that may have a fraction. */
+    public double decimal(SettingKey key) {
+        return Double.parseDouble(text(key));
+    }
+
     /** Returns a setting as an IP address and port. */
     public InetSocketAddress address(SettingKey key) {
         return toAddress(text(key));
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -60,6 +60,14 @@
 import dev.jayturn.core.control.ResolveClaim;
 import dev.jayturn.core.control.RuleLine;
 import dev.jayturn.core.control.RulesVersion;
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.fleet.ConfigurationAnswer;
+import dev.jayturn.core.fleet.ConfigurationCall;
+import dev.jayturn.core.fleet.ConfigurationStored;
+import dev.jayturn.core.fleet.EntryReport;
+import dev.jayturn.core.fleet.FleetUpdate;
+import dev.jayturn.core.fleet.HeartbeatShare;
+import dev.jayturn.core.fleet.PutConfiguration;
 import dev.jayturn.core.membership.Announce;
 import dev.jayturn.core.membership.HubQuery;
 import dev.jayturn.core.membership.HubReading;
@@ -67,6 +75,10 @@
 import dev.jayturn.core.membership.MembersUpdate;
 import dev.jayturn.core.membership.Subscribe;
 import dev.jayturn.core.rules.RulesUpdate;
+import dev.jayturn.core.slice.ConsumedStored;
+import dev.jayturn.core.slice.RetiredStored;
+import dev.jayturn.core.slice.SliceChange;
+import dev.jayturn.core.slice.SliceStored;
 import java.util.List;
 
 /** The types that may be sent or kept; their simple names are part of the format. */
@@ -139,6 +151,18 @@
                     Announce.class,
                     HubStatus.class,
                     MembersUpdate.class,
+                    PutConfiguration.class,
+                    ConfigurationStored.class,
+                    EntryReport.class,
+                    FleetUpdate.class,
+                    ConfigurationCall.class,
+                    ConfigurationAnswer.class,
+                    HeartbeatShare.class,
+                    SliceChange.class,
+                    SliceStored.class,
+                    ConsumedStored.class,
+                    RetiredStored.class,
+                    Heartbeat.class,
                     Subscribe.class);
 
     private WireTypes() {}
