Bound what a dead entry instance may have spent by marks under a lease

Cut off, entry instances move tokens among themselves. Prefix affinity is by rendezvous over all regions. Ruled out: a proof without clocks (nothing that survives the death of all processes can tell whether an instance had entered solo mode).

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
@@ -15,7 +15,10 @@
  */
 public final class ExpectedTimePlacement implements PlacementPolicy {
     /** Round trip to another region that is charged, in milliseconds. */
-    private static final double FAR_MILLIS = 80;
+    private static final double FAR_MILLIS = 60;
+
+    /** Weight of reading a shared prefix again: it delays whoever comes after, too. */
+    private static final double REREAD_WEIGHT = 1;
 
     /** Share of a shared prefix that the first choice is believed to hold unseen. */
     private static final double BELIEVED_HELD = 0.8;
@@ -73,12 +76,13 @@
             held = Math.max(held, BELIEVED_HELD * work.sharedTokens());
         }
         double unread = Math.max(0, work.promptTokens() - held);
+        double again = Math.max(0, work.sharedTokens() - held);
         double queued = upstream.waitingTokens() * Math.sqrt(instances);
         double crowding = 40 * occupancy + 400 * Math.max(0, occupancy - 1);
-        return way + (unread + queued) / upstream.promptRate() + crowding;
+        return way + (unread + REREAD_WEIGHT * again + queued) / upstream.promptRate() + crowding;
     }
 
-    /** Returns the id that comes first in rendezvous order among the near upstreams. */
+    /** Returns the id that comes first in rendezvous order. */
     private String firstChoice(Work work, List<UpstreamLoad> upstreams) {
         String affinity = work.affinity();
         String first = "";
@@ -87,9 +91,6 @@
             return first;
         }
         for (UpstreamLoad upstream : upstreams) {
-            if (!place.isNear(upstream.heartbeat().dataCentre())) {
-                continue;
-            }
             String id = upstream.heartbeat().id();
             long weight =
                     Hashing.murmur3_128()
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryReport.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryReport.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.slice.LifeClock;
 import dev.jayturn.core.slice.SliceStatus;
 import dev.jayturn.core.transport.Message;
 import java.util.List;
@@ -9,18 +10,24 @@
  *
  * @param from link address of the entry instance
  * @param holder its incarnation, as the holder of slices
+ * @param started its clocks when it began
+ * @param now its clocks now
  * @param configurationVersion the version that it obeys
  * @param tableEpoch life of the control instance whose table it has followed
  * @param tableRevision revision up to which it has followed that table
+ * @param peersKnown hash of the entry instances that it knows of
  * @param slices empty for control instances that do not lead
  * @param leaving whether it will spend nothing more
  */
 public record EntryReport(
         String from,
         String holder,
+        LifeClock started,
+        LifeClock now,
         long configurationVersion,
         long tableEpoch,
         long tableRevision,
+        int peersKnown,
         List<SliceStatus> slices,
         boolean leaving)
         implements Message {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -7,17 +7,21 @@
 import dev.jayturn.core.directory.UpstreamTable;
 import dev.jayturn.core.slice.SliceChange;
 import dev.jayturn.core.slice.SliceGrant;
-import dev.jayturn.core.slice.SliceIssue;
+import dev.jayturn.core.slice.LifeClock;
+import dev.jayturn.core.slice.SliceLease;
 import dev.jayturn.core.slice.SlicePlanner;
+import dev.jayturn.core.slice.SliceRetirement;
 import dev.jayturn.core.slice.SliceReturn;
 import dev.jayturn.core.slice.SliceStatus;
 import dev.jayturn.core.slice.SliceTable;
 import dev.jayturn.core.slice.SliceTotals;
 import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.timer.WallClock;
 import dev.jayturn.core.transport.Addresses;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -31,6 +35,10 @@
     private static final long LIVE_MILLIS = 2_000;
 
     private static final long PLAN_MILLIS = 100;
+
+    /** A lease is renewed once the holder's report is so much newer. */
+    private static final long LEASE_RENEW_MILLIS = 250;
+
     private static final long SHARE_MILLIS = 1_000;
 
     /** Time after which the configuration is sent again to an entry that still lacks it. */
@@ -45,6 +53,7 @@
     private final FleetState state;
     private final Transport transport;
     private final TimerService timers;
+    private final WallClock wallClock;
     private final ConfigurationDesk desk;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final Map<String, Entry> entries = new LinkedHashMap<>();
@@ -60,7 +69,11 @@
         long documentSentVersion;
         long tableEpoch;
         long tableRevision;
+        LifeClock started = new LifeClock("", 0, 0);
+        LifeClock now = new LifeClock("", 0, 0);
+        long firstWallMillis;
         boolean leaving;
+        int peersKnown;
         Map<String, SliceStatus> slices = new HashMap<>();
         Map<String, Long> recalls = new HashMap<>();
     }
@@ -76,7 +89,9 @@
             RaftNode raft,
             FleetState state,
             Transport transport,
-            TimerService timers) {
+            TimerService timers,
+            WallClock wallClock) {
+        this.wallClock = wallClock;
         this.self = self;
         this.epoch = epoch;
         this.raft = raft;
@@ -146,6 +161,8 @@
         if (!entry.holder.equals(report.holder())) {
             entry.slices = new HashMap<>();
             entry.documentSentVersion = 0;
+            entry.started = report.started();
+            entry.firstWallMillis = wallClock.wallMillis();
         }
         entry.holder = report.holder();
         entry.heardMillis = timers.nowMillis();
@@ -153,6 +170,8 @@
         entry.tableEpoch = report.tableEpoch();
         entry.tableRevision = report.tableEpoch() == epoch ? report.tableRevision() : 0;
         entry.leaving = report.leaving();
+        entry.now = report.now();
+        entry.peersKnown = report.peersKnown();
         boolean isShort = false;
         for (SliceStatus status : report.slices()) {
             entry.slices.put(status.customer(), status);
@@ -186,12 +205,16 @@
         return timers.nowMillis() - entry.heardMillis < LIVE_MILLIS;
     }
 
-    private int liveEntries() {
-        int count = 0;
-        for (Entry entry : entries.values()) {
-            count += isLive(entry) && !entry.leaving ? 1 : 0;
-        }
-        return count;
+    private List<String> liveEntries() {
+        List<String> live = new ArrayList<>();
+        entries.forEach(
+                (address, entry) -> {
+                    if (isLive(entry) && !entry.leaving) {
+                        live.add(address);
+                    }
+                });
+        Collections.sort(live);
+        return live;
     }
 
     private void planSlices() {
@@ -220,20 +243,43 @@
         for (Entry entry : entries.values()) {
             entry.recalls = plan.recalls().getOrDefault(entry.holder, Map.of());
         }
-        List<String> retired = replacedHolders(table);
-        List<SliceIssue> issues = plan.issues();
-        if (!returns.isEmpty() || !retired.isEmpty() || !issues.isEmpty()) {
-            propose(new SliceChange(returns, retired, issues));
+        SliceChange change =
+                new SliceChange(
+                        returns,
+                        replacedHolders(table),
+                        leases(table),
+                        SlicePlanner.marks(table, holders),
+                        plan.issues());
+        if (!change.isEmpty()) {
+            propose(change);
         }
     }
 
+    private List<SliceLease> leases(SliceTable table) {
+        List<SliceLease> renewed = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            SliceLease held = table.lease(entry.holder);
+            boolean news =
+                    held == null
+                            || entry.now.steadyMillis() - held.reported().steadyMillis()
+                                    >= LEASE_RENEW_MILLIS;
+            if (news && isLive(entry) && !entry.slices.isEmpty()) {
+                renewed.add(
+                        new SliceLease(entry.holder, entry.now, wallClock.wallMillis()));
+            }
+        }
+        return renewed;
+    }
+
     /** Returns the holders whose address another incarnation has reported from since. */
-    private List<String> replacedHolders(SliceTable table) {
-        List<String> replaced = new ArrayList<>();
+    private List<SliceRetirement> replacedHolders(SliceTable table) {
+        List<SliceRetirement> replaced = new ArrayList<>();
         for (String holder : table.holders()) {
             Entry successor = entries.get(Addresses.instanceOf(holder));
             if (successor != null && !successor.holder.equals(holder)) {
-                replaced.add(holder);
+                replaced.add(
+                        new SliceRetirement(
+                                holder, successor.started, successor.firstWallMillis));
             }
         }
         return replaced;
@@ -315,19 +361,23 @@
             heard.add(heartbeat.id());
         }
         String leader = raft.leader();
+        List<String> live = liveEntries();
+        SliceLease lease = state.slices().lease(entry.holder);
         return new FleetUpdate(
                 self,
                 entry.holder,
                 retired,
                 leader.isEmpty() ? "" : Addresses.instanceOf(leader),
                 controls(),
-                liveEntries(),
+                live.hashCode() == entry.peersKnown ? null : live,
+                live.size(),
                 held.version(),
                 document,
                 epoch,
                 upstreams.revision(),
                 upstreams.changedSince(entry.tableRevision),
                 heard,
+                lease == null || grants.isEmpty() && !raft.isLeader() ? 0 : lease.endMillis(),
                 grants);
     }
 
@@ -340,18 +390,22 @@
         for (String customer : table.prepaid().keySet()) {
             SliceStatus status = entry.slices.get(customer);
             long issued = table.totals(entry.holder, customer).issued();
+            long mark = table.totals(entry.holder, customer).mark();
             long recall = entry.recalls.getOrDefault(customer, 0L);
             long left = left(customer);
-            boolean news = status == null || status.issuedKnown() != issued || recall > 0;
+            boolean news = status == null || status.issuedKnown() != issued || status.markKnown() != mark || recall > 0;
             if (news || left < table.prepaid().getOrDefault(customer, 0L) / 10) {
-                grants.add(new SliceGrant(customer, issued, left, recall));
+                grants.add(new SliceGrant(customer, issued, mark, left, recall));
             }
         }
         entry.recalls = Map.of();
         return grants;
     }
 
-    /** Returns the prepaid tokens less all that is known to be spent. */
+    /**
+     * Returns the prepaid tokens less all that was spent by live holders or may have been by dead
+     * ones: what can still be had by anybody.
+     */
     private long left(String customer) {
         SliceTable table = state.slices();
         long spent = table.consumed(customer);
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
@@ -2,10 +2,12 @@
 
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.slice.LifeClock;
 import dev.jayturn.core.slice.SliceAccounts;
 import dev.jayturn.core.slice.SliceGrant;
 import dev.jayturn.core.slice.SliceStatus;
 import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.timer.WallClock;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
 import java.util.ArrayList;
@@ -18,7 +20,7 @@
 
 /** An entry instance's side of the fleet: what it has heard of control, and its slices. */
 public final class FleetEntry {
-    private static final long REPORT_MILLIS = 400;
+    private static final long REPORT_MILLIS = 300;
 
     /** A shortage is reported at once, but not more often than this. */
     private static final long URGENT_MILLIS = 40;
@@ -36,13 +38,19 @@
     private final RandomSource random;
     private final FleetListener listener;
     private final SliceAccounts slices = new SliceAccounts();
+    private final PeerTokens peerTokens;
     private final Map<String, Control> controls = new LinkedHashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
+    private final String boot;
+    private final WallClock wallClock;
+    private LifeClock started;
     private String holder;
+    private long leaseEndMillis = Long.MAX_VALUE;
     private String leader = "";
     private long leaderHeardMillis = Long.MIN_VALUE / 2;
     private long version;
     private int entries = 1;
+    private int peersKnown;
     private long lastReportMillis;
     private boolean urgent;
     private boolean leaving;
@@ -60,7 +68,11 @@
             Transport transport,
             TimerService timers,
             RandomSource random,
+            WallClock wallClock,
+            String boot,
             FleetListener listener) {
+        this.wallClock = wallClock;
+        this.boot = boot;
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.transport = transport;
@@ -68,6 +80,9 @@
         this.random = random;
         this.listener = listener;
         this.holder = newHolder();
+        this.started = clock();
+        this.peerTokens =
+                new PeerTokens(self, slices, transport, timers, random, listener::onSlices);
         for (String seed : seeds) {
             controls.put(seed, new Control());
         }
@@ -75,12 +90,17 @@
         timers.schedule(0, this::report);
     }
 
+    private LifeClock clock() {
+        return new LifeClock(boot, timers.nowMillis(), wallClock.wallMillis());
+    }
+
     private String newHolder() {
         return self + '#' + Long.toHexString(random.nextLong());
     }
 
     /** Returns the slices that this instance spends from. */
     public SliceAccounts slices() {
+        slices.setLeased(timers.nowMillis() < leaseEndMillis);
         return slices;
     }
 
@@ -113,14 +133,27 @@
         return newest;
     }
 
-    /** Asks for tokens that a request lacks. */
-    public void requestTokens(String customer, long tokens) {
+    /**
+     * Asks for tokens that a request lacks: the leader, or the other instances while it is away.
+     *
+     * @return whether anybody may still have some
+     */
+    public boolean requestTokens(String customer, long tokens) {
         slices.noteShortage(customer, tokens);
+        if (!isInTouch()) {
+            return peerTokens.request(holder, customer, tokens);
+        }
         if (!urgent) {
             urgent = true;
             long wait = Math.max(0, lastReportMillis + URGENT_MILLIS - timers.nowMillis());
             timers.schedule(wait, this::report);
         }
+        return true;
+    }
+
+    /** Asks the other instances, after the leader has not helped. */
+    public void requestPeerTokens(String customer, long tokens) {
+        peerTokens.request(holder, customer, tokens);
     }
 
     /** Gives all free tokens back; call once nothing more will be spent. */
@@ -131,10 +164,10 @@
     }
 
     private void report() {
-        long now = timers.nowMillis();
         urgent = false;
-        lastReportMillis = now;
-        List<SliceStatus> statuses = slices.report(now);
+        lastReportMillis = timers.nowMillis();
+        LifeClock now = clock();
+        List<SliceStatus> statuses = slices().report(lastReportMillis);
         boolean knowsLeader = controls.containsKey(leader) && isInTouch();
         controls.forEach(
                 (address, control) -> {
@@ -144,18 +177,26 @@
                             new EntryReport(
                                     self,
                                     holder,
+                                    started,
+                                    now,
                                     version,
                                     control.epoch,
                                     control.revision,
+                                    peersKnown,
                                     full ? statuses : List.of(),
                                     leaving));
                 });
     }
 
-    /** Handles a message from a control instance. */
+    /** Handles a message from another instance. */
     public void handle(Message message) {
         if (message instanceof FleetUpdate update && update.holder().equals(holder)) {
             onUpdate(update);
+        } else if (message instanceof TokenAsk ask) {
+            slices();
+            peerTokens.onAsk(ask, holder);
+        } else if (message instanceof TokenGive give) {
+            peerTokens.onGive(give, holder);
         }
     }
 
@@ -163,6 +204,8 @@
         long now = timers.nowMillis();
         if (update.retired()) {
             holder = newHolder();
+            started = clock();
+            leaseEndMillis = Long.MAX_VALUE;
             slices.startAnew();
             return;
         }
@@ -174,6 +217,11 @@
             heardLeader = true;
             entries = Math.max(1, update.entries());
         }
+        List<String> peers = update.peers();
+        if (peers != null) {
+            peersKnown = peers.hashCode();
+            peerTokens.setPeers(peers);
+        }
         if (update.from().equals(update.leader())) {
             leaderHeardMillis = now;
         }
@@ -190,6 +238,13 @@
             version = update.version();
             listener.onConfiguration(new ConfigurationDocument(version, document));
         }
+        if (update.leaseEndMillis() > 0) {
+            boolean first = leaseEndMillis == Long.MAX_VALUE;
+            leaseEndMillis =
+                    first
+                            ? update.leaseEndMillis()
+                            : Math.max(leaseEndMillis, update.leaseEndMillis());
+        }
         for (SliceGrant grant : update.grants()) {
             slices.accept(grant, now);
         }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
@@ -14,6 +14,7 @@
  * @param retired whether that incarnation was retired and must take another
  * @param leader link address of the leader; empty if none is known
  * @param controls link addresses of all control instances
+ * @param peers link addresses of the live entry instances, if the receiver knows others
  * @param entries number of live entry instances
  * @param version version of the configuration in force here
  * @param document the configuration, if the entry instance lacks it
@@ -21,6 +22,7 @@
  * @param tableRevision revision that the changes lead to
  * @param upstreams upstreams that changed
  * @param heard ids of upstreams that were heard of lately
+ * @param leaseEndMillis end of the holder's lease on its steady clock; 0 if there is none
  * @param grants slices, from the leader only
  */
 public record FleetUpdate(
@@ -29,6 +31,7 @@
         boolean retired,
         String leader,
         List<String> controls,
+        @Nullable List<String> peers,
         int entries,
         long version,
         byte @Nullable [] document,
@@ -36,5 +39,6 @@
         long tableRevision,
         List<Heartbeat> upstreams,
         List<String> heard,
+        long leaseEndMillis,
         List<SliceGrant> grants)
         implements Message {}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/LeaseStored.java
@@ -0,0 +1,6 @@
+package dev.jayturn.core.slice;
+
+import dev.jayturn.core.journal.JournalRecord;
+
+/** Snapshot: a holder's lease. */
+public record LeaseStored(SliceLease lease) implements JournalRecord {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceAccounts.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceAccounts.java
@@ -13,12 +13,23 @@
     /** Time over which demand is averaged, in seconds. */
     private static final double DEMAND_SECONDS = 4;
 
+    /** More than what is lacked is given, so that the next request need not ask again. */
+    private static final int GIVE_FACTOR = 3;
+
+    /** Weight of a request in the average of their sizes. */
+    private static final double TYPICAL_GAIN = 0.2;
+
     private final Map<String, Account> accounts = new HashMap<>();
+    private final Map<String, Long> given = new HashMap<>();
+    private final Map<String, Long> received = new HashMap<>();
     private long epoch;
+    private boolean leased = true;
 
     private static final class Account {
         long issued;
+        long mark;
         long returned;
+        long transferred;
         long spent;
         long reserved;
         long left;
@@ -27,9 +38,11 @@
         long reportedSpent;
         long reportedAtMillis;
         double demand;
+        double typical;
 
-        long available() {
-            return issued - returned - spent - reserved;
+        long available(boolean leased) {
+            long free = issued + transferred - returned - spent - reserved;
+            return leased ? Math.min(free, mark - (spent + reserved - transferred)) : free;
         }
     }
 
@@ -40,14 +53,21 @@
      */
     public record Reservation(String customer, long tokens, long epoch) {}
 
+    /** Sets whether a lease runs, so that no more than the marks may be drawn. */
+    public void setLeased(boolean runs) {
+        leased = runs;
+    }
+
     /** Returns whether so many tokens are free. */
     public boolean hasFree(String customer, long tokens) {
-        return account(customer).available() >= tokens;
+        return account(customer).available(leased) >= tokens;
     }
 
     /** Takes tokens for a request; call only if they are free. */
     public Reservation reserve(String customer, long tokens) {
-        account(customer).reserved += tokens;
+        Account account = account(customer);
+        account.reserved += tokens;
+        account.typical += TYPICAL_GAIN * (tokens - account.typical);
         return new Reservation(customer, tokens, epoch);
     }
 
@@ -71,9 +91,10 @@
     public void accept(SliceGrant grant, long nowMillis) {
         Account account = account(grant.customer());
         account.issued = Math.max(account.issued, grant.issuedTotal());
+        account.mark = Math.max(account.mark, grant.markTotal());
         account.left = grant.left();
         account.leftAtMillis = nowMillis;
-        account.returned += Math.max(0, Math.min(grant.recall(), account.available()));
+        giveBack(account, grant.recall());
     }
 
     /**
@@ -87,13 +108,47 @@
     /** Gives back all that is free, before the instance leaves. */
     public void returnAll() {
         for (Account account : accounts.values()) {
-            account.returned += Math.max(0, account.available());
+            giveBack(account, account.available(false));
+        }
+    }
+
+    /** Only tokens that were issued here can be returned; what others gave stays until spent. */
+    private static void giveBack(Account account, long tokens) {
+        long most = Math.min(account.available(false), account.issued - account.returned);
+        account.returned += Math.max(0, Math.min(tokens, most));
+    }
+
+    /**
+     * Gives tokens to another holder: what it lacks if there is enough, else half of what there is.
+     *
+     * @return all that was given to it so far
+     */
+    public long give(String customer, long tokens, String toHolder) {
+        Account account = account(customer);
+        long free = Math.max(0, account.available(leased));
+        long amount = free / 2;
+        if (free >= tokens) {
+            amount = Math.max(tokens, Math.min(GIVE_FACTOR * tokens, free / 2));
+        }
+        account.transferred -= amount;
+        return given.merge(toHolder + ' ' + customer, amount, Long::sum);
+    }
+
+    /** Takes tokens from another holder, which has given so many in all. */
+    public void receive(String fromHolder, String customer, long givenTotal) {
+        String key = fromHolder + ' ' + customer;
+        long before = received.getOrDefault(key, 0L);
+        if (givenTotal > before) {
+            received.put(key, givenTotal);
+            account(customer).transferred += givenTotal - before;
         }
     }
 
     /** Drops every slice, since the incarnation was retired; open reservations no longer count. */
     public void startAnew() {
         accounts.clear();
+        given.clear();
+        received.clear();
         epoch++;
     }
 
@@ -107,10 +162,13 @@
                             new SliceStatus(
                                     customer,
                                     account.issued,
+                                    account.mark,
                                     account.spent,
                                     account.reserved,
                                     account.returned,
+                                    account.transferred,
                                     account.demand,
+                                    account.typical,
                                     account.shortage));
                     account.shortage = 0;
                 });
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -9,18 +9,23 @@
  * Splits budgets among the entry instances by demand. The pattern answered: all instances are cut
  * off at once for ten seconds while one customer sends several times its usual. So each instance
  * holds what would last it for long at its present rate, and only when the pool runs out is it
- * taken from those that would run dry last.
+ * taken from those that would run dry last. What stands in slices is lost when the instances die, so
+ * a slice is not larger than a cut needs; cut off, instances help each other out.
  */
 public final class SlicePlanner {
     /** Time that a slice lasts at the present demand, in seconds. */
-    private static final double HORIZON_SECONDS = 25;
+    private static final double HORIZON_SECONDS = 20;
 
     /** Weight of an idle holder against the mean demand. */
     private static final double IDLE_WEIGHT = 0.25;
 
-    /** Share of a budget that a holder is given before it has shown any demand. */
-    private static final double FIRST_SHARE = 0.5;
+    /** Share of a budget that stands in slices whatever the demand. */
+    private static final double BASE_SHARE = 0.15;
 
+    /** Time for which a mark lasts at the present demand: a lease and its renewal, in seconds. */
+    private static final double MARK_SECONDS = 3;
+
+    private static final double MARK_BELOW = 0.7;
     private static final double REFILL_BELOW = 0.75;
     private static final double RECALL_ABOVE = 1.3;
     private static final double SHORT_BELOW = 0.5;
@@ -48,6 +53,31 @@
         return plan;
     }
 
+    /** Raises the marks of holders that have drawn most of what theirs allow. */
+    public static List<SliceMark> marks(SliceTable table, List<Holder> holders) {
+        List<SliceMark> marks = new ArrayList<>();
+        for (Holder holder : holders) {
+            holder.statuses()
+                    .forEach(
+                            (customer, status) -> {
+                                double lead =
+                                        MARK_SECONDS * status.demand()
+                                                + Math.max(status.typical(), status.shortage());
+                                long mark = table.totals(holder.id(), customer).mark();
+                                if (mark < status.drawn() + MARK_BELOW * lead) {
+                                    long raised = (long) (status.drawn() + lead);
+                                    marks.add(new SliceMark(holder.id(), customer, raised));
+                                }
+                            });
+        }
+        return marks;
+    }
+
+    private static double demandOf(Holder holder, String customer) {
+        SliceStatus status = holder.statuses().get(customer);
+        return status == null ? 0 : status.demand();
+    }
+
     private static void planCustomer(
             SliceTable table, String customer, List<Holder> holders, Plan plan) {
         int count = holders.size();
@@ -62,7 +92,7 @@
             available[i] = issued;
             if (status != null) {
                 available[i] += status.available() - status.issuedKnown();
-                weights[i] = status.demand();
+                weights[i] = demandOf(holders.get(i), customer);
                 shortage[i] = status.shortage();
                 demand += status.demand();
             }
@@ -76,10 +106,10 @@
         }
         boolean anyShort = false;
         long pool = table.unissued(customer);
-        long first = (long) (FIRST_SHARE * total / count);
+        double base = BASE_SHARE * table.prepaid().getOrDefault(customer, 0L) / count;
         for (int i = 0; i < count; i++) {
             double ideal = total * weights[i] / sum;
-            long lasting = Math.max(first, (long) (HORIZON_SECONDS * weights[i]));
+            double lasting = Math.max(base, HORIZON_SECONDS * demandOf(holders.get(i), customer));
             long want = Math.max((long) Math.min(ideal, lasting), shortage[i]);
             boolean low = available[i] < REFILL_BELOW * want || shortage[i] > available[i];
             if (low && pool > 0) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The replicated state of all slices. For each customer the sum of outstanding slices and of what
@@ -16,6 +17,7 @@
     private final Map<String, Map<String, SliceTotals>> byHolder = new LinkedHashMap<>();
     private final Map<String, Long> consumed = new LinkedHashMap<>();
     private final Map<String, Long> outstanding = new LinkedHashMap<>();
+    private final Map<String, SliceLease> leases = new LinkedHashMap<>();
     private final Set<String> retired = new LinkedHashSet<>();
     private Map<String, Long> prepaid = Map.of();
 
@@ -34,8 +36,16 @@
         for (SliceReturn given : change.returns()) {
             takeBack(given);
         }
-        for (String holder : change.retired()) {
-            retire(holder);
+        for (SliceRetirement retirement : change.retirements()) {
+            retire(retirement);
+        }
+        for (SliceLease lease : change.leases()) {
+            if (!retired.contains(lease.holder())) {
+                leases.put(lease.holder(), lease);
+            }
+        }
+        for (SliceMark mark : change.marks()) {
+            raiseMark(mark);
         }
         for (SliceIssue issue : change.issues()) {
             issue(issue);
@@ -46,18 +56,42 @@
         SliceTotals totals = totals(given.holder(), given.customer());
         long returned = Math.min(given.returnedTotal(), totals.issued());
         if (returned > totals.returned()) {
-            put(given.holder(), given.customer(), new SliceTotals(totals.issued(), returned));
+            put(
+                    given.holder(),
+                    given.customer(),
+                    new SliceTotals(totals.issued(), returned, totals.mark()));
         }
     }
 
-    private void retire(String holder) {
-        if (!retired.add(holder)) {
+    private void raiseMark(SliceMark mark) {
+        SliceTotals totals = totals(mark.holder(), mark.customer());
+        if (!retired.contains(mark.holder()) && mark.markTotal() > totals.mark()) {
+            put(
+                    mark.holder(),
+                    mark.customer(),
+                    new SliceTotals(totals.issued(), totals.returned(), mark.markTotal()));
+        }
+    }
+
+    private void retire(SliceRetirement retirement) {
+        if (!retired.add(retirement.holder())) {
             return;
         }
-        Map<String, SliceTotals> held = byHolder.remove(holder);
-        if (held != null) {
-            held.forEach((customer, t) -> consumed.merge(customer, t.outstanding(), Long::sum));
+        SliceLease lease = leases.remove(retirement.holder());
+        boolean kept = lease == null || retirement.isWithin(lease);
+        Map<String, SliceTotals> held = byHolder.remove(retirement.holder());
+        if (held == null) {
+            return;
         }
+        held.forEach(
+                (customer, totals) -> {
+                    long lost = totals.outstanding();
+                    if (kept) {
+                        lost = Math.min(lost, totals.mark());
+                    }
+                    consumed.merge(customer, lost, Long::sum);
+                    outstanding.merge(customer, lost - totals.outstanding(), Long::sum);
+                });
     }
 
     private void issue(SliceIssue issue) {
@@ -69,7 +103,7 @@
         put(
                 issue.holder(),
                 issue.customer(),
-                new SliceTotals(totals.issued() + tokens, totals.returned()));
+                new SliceTotals(totals.issued() + tokens, totals.returned(), totals.mark()));
     }
 
     private void put(String holder, String customer, SliceTotals totals) {
@@ -88,6 +122,11 @@
         return byHolder.keySet();
     }
 
+    /** Returns a holder's lease, null before the first one. */
+    public @Nullable SliceLease lease(String holder) {
+        return leases.get(holder);
+    }
+
     /** Returns a holder's totals by customer. */
     public Map<String, SliceTotals> totalsOf(String holder) {
         return byHolder.getOrDefault(holder, Map.of());
@@ -98,7 +137,7 @@
         return totalsOf(holder).getOrDefault(customer, SliceTotals.NONE);
     }
 
-    /** Returns the tokens that retired holders held. */
+    /** Returns the tokens that retired holders may have spent. */
     public long consumed(String customer) {
         return consumed.getOrDefault(customer, 0L);
     }
@@ -116,13 +155,9 @@
                 (holder, held) ->
                         held.forEach(
                                 (customer, t) ->
-                                        items.add(
-                                                new SliceStored(
-                                                        holder,
-                                                        customer,
-                                                        t.issued(),
-                                                        t.returned()))));
+                                        items.add(new SliceStored(holder, customer, t))));
         consumed.forEach((customer, tokens) -> items.add(new ConsumedStored(customer, tokens)));
+        leases.values().forEach(lease -> items.add(new LeaseStored(lease)));
         retired.forEach(holder -> items.add(new RetiredStored(holder)));
         return items;
     }
@@ -132,16 +167,16 @@
         byHolder.clear();
         consumed.clear();
         outstanding.clear();
+        leases.clear();
         retired.clear();
     }
 
     /** Takes one record of a snapshot. */
     public void restore(JournalRecord item) {
         if (item instanceof SliceStored stored) {
-            put(
-                    stored.holder(),
-                    stored.customer(),
-                    new SliceTotals(stored.issued(), stored.returned()));
+            put(stored.holder(), stored.customer(), stored.totals());
+        } else if (item instanceof LeaseStored stored) {
+            leases.put(stored.lease().holder(), stored.lease());
         } else if (item instanceof ConsumedStored stored) {
             consumed.put(stored.customer(), stored.tokens());
             outstanding.merge(stored.customer(), stored.tokens(), Long::sum);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -114,7 +114,14 @@
         RaftNode raft =
                 new RaftNode(
                         config, journal.takeRecovered(), journal, transport, timers, random, state);
-        control = new FleetControl(self, random.nextLong(), raft, state, transport, timers);
+        control = new FleetControl(
+                        self,
+                        random.nextLong(),
+                        raft,
+                        state,
+                        transport,
+                        timers,
+                        System::currentTimeMillis);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         new CallServer(loop, calls).listen(settings.address(SettingKey.FLEET_CONTROL));
         log.event(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -88,7 +88,14 @@
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         FleetEntry entry =
                 new FleetEntry(
-                        self, FleetSettings.seeds(settings), transport, timers, random, this);
+                        self,
+                        FleetSettings.seeds(settings),
+                        transport,
+                        timers,
+                        random,
+                        System::currentTimeMillis,
+                        MachineRun.id(),
+                        this);
         fleet = entry;
         forwarder.join(entry);
         server.listen(settings.address(SettingKey.FLEET_CALLERS));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LoopTimers.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LoopTimers.java
@@ -8,18 +8,19 @@
 
 /** Timers on an event loop, by its steady clock. */
 public final class LoopTimers implements TimerService {
+    /** Keeps times a while after the start of the machine well above 0. */
+    private static final long OFFSET_MILLIS = TimeUnit.HOURS.toMillis(1);
+
     private final EventLoop loop;
-    private final long startNanos = System.nanoTime();
 
     public LoopTimers(EventLoop loop) {
         this.loop = loop;
     }
 
-    /** Returns milliseconds since the process started, plus an offset that keeps them positive. */
+    /** Returns the machine's steady clock, which goes on over restarts of the process. */
     @Override
     public long nowMillis() {
-        return TimeUnit.HOURS.toMillis(1)
-                + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        return OFFSET_MILLIS + TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
     @Override
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
@@ -8,8 +8,11 @@
 
 /** The tokens held for one request, from the slice of this instance. */
 final class TokenHold {
-    /** How long a request waits for tokens that others hold, in milliseconds. */
-    private static final long WAIT_MILLIS = 250;
+    /** How long a request waits for tokens from the leader, in milliseconds. */
+    private static final long LEADER_WAIT_MILLIS = 160;
+
+    /** How long it then waits for tokens that other instances hold, in milliseconds. */
+    private static final long PEER_WAIT_MILLIS = 160;
 
     /** Budget figures older than this do not prove that a budget is spent. */
     private static final long LEFT_AGE_MILLIS = 1_500;
@@ -44,13 +47,20 @@
         if (tryReserve()) {
             return;
         }
-        fleet.requestTokens(customer, tokens);
-        if (isSpent() || !fleet.isInTouch()) {
+        boolean mayHelp = fleet.requestTokens(customer, tokens);
+        if (isSpent() || !mayHelp) {
             refuse();
             return;
         }
-        wait = forwarder.timers().schedule(WAIT_MILLIS, this::refuse);
-        forwarder.awaitTokens(this::retry);
+        if (reservation == null) {
+            wait = forwarder.timers().schedule(LEADER_WAIT_MILLIS, this::askPeers);
+            forwarder.awaitTokens(this::retry);
+        }
+    }
+
+    private void askPeers() {
+        fleet.requestPeerTokens(customer, tokens);
+        wait = forwarder.timers().schedule(PEER_WAIT_MILLIS, this::refuse);
     }
 
     private boolean tryReserve() {
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -79,6 +79,9 @@
 import dev.jayturn.core.slice.RetiredStored;
 import dev.jayturn.core.slice.SliceChange;
 import dev.jayturn.core.slice.SliceStored;
+import dev.jayturn.core.fleet.TokenAsk;
+import dev.jayturn.core.fleet.TokenGive;
+import dev.jayturn.core.slice.LeaseStored;
 import java.util.List;
 
 /** The types that may be sent or kept; their simple names are part of the format. */
@@ -163,6 +166,9 @@
                     ConsumedStored.class,
                     RetiredStored.class,
                     Heartbeat.class,
+                    TokenAsk.class,
+                    TokenGive.class,
+                    LeaseStored.class,
                     Subscribe.class);
 
     private WireTypes() {}
