Shorten marks and slices, take back what demand no longer needs

Cause: leads of three seconds plus a typical request for each customer and instance were lost at each death of all processes, and slices kept what a past burst had needed. Change: a mark leads by the larger of both; slices last 13 s; more than 1.6 times the due is recalled; a request waits up to 500 ms for tokens while in touch.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -5,9 +5,9 @@
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.directory.UpstreamTable;
+import dev.jayturn.core.slice.LifeClock;
 import dev.jayturn.core.slice.SliceChange;
 import dev.jayturn.core.slice.SliceGrant;
-import dev.jayturn.core.slice.LifeClock;
 import dev.jayturn.core.slice.SliceLease;
 import dev.jayturn.core.slice.SlicePlanner;
 import dev.jayturn.core.slice.SliceRetirement;
@@ -264,8 +264,7 @@
                             || entry.now.steadyMillis() - held.reported().steadyMillis()
                                     >= LEASE_RENEW_MILLIS;
             if (news && isLive(entry) && !entry.slices.isEmpty()) {
-                renewed.add(
-                        new SliceLease(entry.holder, entry.now, wallClock.wallMillis()));
+                renewed.add(new SliceLease(entry.holder, entry.now, wallClock.wallMillis()));
             }
         }
         return renewed;
@@ -278,8 +277,7 @@
             Entry successor = entries.get(Addresses.instanceOf(holder));
             if (successor != null && !successor.holder.equals(holder)) {
                 replaced.add(
-                        new SliceRetirement(
-                                holder, successor.started, successor.firstWallMillis));
+                        new SliceRetirement(holder, successor.started, successor.firstWallMillis));
             }
         }
         return replaced;
@@ -393,7 +391,11 @@
             long mark = table.totals(entry.holder, customer).mark();
             long recall = entry.recalls.getOrDefault(customer, 0L);
             long left = left(customer);
-            boolean news = status == null || status.issuedKnown() != issued || status.markKnown() != mark || recall > 0;
+            boolean news =
+                    status == null
+                            || status.issuedKnown() != issued
+                            || status.markKnown() != mark
+                            || recall > 0;
             if (news || left < table.prepaid().getOrDefault(customer, 0L) / 10) {
                 grants.add(new SliceGrant(customer, issued, mark, left, recall));
             }
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceGrant.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceGrant.java
@@ -8,4 +8,5 @@
  * @param left tokens that nobody is known to have spent; never less than there are
  * @param recall tokens to give back, as far as they are free
  */
-public record SliceGrant(String customer, long issuedTotal, long markTotal, long left, long recall) {}
+public record SliceGrant(
+        String customer, long issuedTotal, long markTotal, long left, long recall) {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceLease.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceLease.java
@@ -8,7 +8,7 @@
  */
 public record SliceLease(String holder, LifeClock reported, long leaderWallMillis) {
     /** Length of a lease, in milliseconds. */
-    public static final long MILLIS = 3_000;
+    public static final long MILLIS = 3_400;
 
     /** Returns the time on the holder's steady clock from which it may spend all it holds. */
     public long endMillis() {
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -9,23 +9,27 @@
  * Splits budgets among the entry instances by demand. The pattern answered: all instances are cut
  * off at once for ten seconds while one customer sends several times its usual. So each instance
  * holds what would last it for long at its present rate, and only when the pool runs out is it
- * taken from those that would run dry last. What stands in slices is lost when the instances die, so
- * a slice is not larger than a cut needs; cut off, instances help each other out.
+ * taken from those that would run dry last. What stands in slices is lost when the instances die,
+ * so a slice is not larger than a cut needs; cut off, instances help each other out.
  */
 public final class SlicePlanner {
     /** Time that a slice lasts at the present demand, in seconds. */
-    private static final double HORIZON_SECONDS = 20;
+    private static final double HORIZON_SECONDS = 13;
 
     /** Weight of an idle holder against the mean demand. */
     private static final double IDLE_WEIGHT = 0.25;
 
     /** Share of a budget that stands in slices whatever the demand. */
-    private static final double BASE_SHARE = 0.15;
+    private static final double BASE_SHARE = 0.1;
 
     /** Time for which a mark lasts at the present demand: a lease and its renewal, in seconds. */
     private static final double MARK_SECONDS = 3;
 
-    private static final double MARK_BELOW = 0.7;
+    private static final double MARK_BELOW = 0.6;
+
+    /** A holder gives back what goes beyond this multiple of what it is due. */
+    private static final double KEEP_FACTOR = 1.6;
+
     private static final double REFILL_BELOW = 0.75;
     private static final double RECALL_ABOVE = 1.3;
     private static final double SHORT_BELOW = 0.5;
@@ -61,8 +65,9 @@
                     .forEach(
                             (customer, status) -> {
                                 double lead =
-                                        MARK_SECONDS * status.demand()
-                                                + Math.max(status.typical(), status.shortage());
+                                        Math.max(
+                                                MARK_SECONDS * status.demand(),
+                                                Math.max(status.typical(), status.shortage()));
                                 long mark = table.totals(holder.id(), customer).mark();
                                 if (mark < status.drawn() + MARK_BELOW * lead) {
                                     long raised = (long) (status.drawn() + lead);
@@ -73,6 +78,17 @@
         return marks;
     }
 
+    private static void recall(Plan plan, Holder holder, String customer, double tokens) {
+        plan.recalls()
+                .computeIfAbsent(holder.id(), h -> new HashMap<>())
+                .merge(customer, (long) tokens, Math::max);
+    }
+
+    private static double typicalOf(Holder holder, String customer) {
+        SliceStatus status = holder.statuses().get(customer);
+        return status == null ? 0 : status.typical();
+    }
+
     private static double demandOf(Holder holder, String customer) {
         SliceStatus status = holder.statuses().get(customer);
         return status == null ? 0 : status.demand();
@@ -118,6 +134,10 @@
                 available[i] += tokens;
                 plan.issues().add(new SliceIssue(holders.get(i).id(), customer, tokens));
             }
+            double most = KEEP_FACTOR * Math.max(want, typicalOf(holders.get(i), customer));
+            if (available[i] > most && shortage[i] == 0) {
+                recall(plan, holders.get(i), customer, available[i] - most);
+            }
             anyShort |= available[i] < SHORT_BELOW * ideal || shortage[i] > available[i];
         }
         if (!anyShort || pool > total / 20) {
@@ -126,9 +146,7 @@
         for (int i = 0; i < count; i++) {
             double ideal = total * weights[i] / sum;
             if (available[i] > RECALL_ABOVE * ideal && shortage[i] == 0) {
-                plan.recalls()
-                        .computeIfAbsent(holders.get(i).id(), h -> new HashMap<>())
-                        .put(customer, (long) (available[i] - ideal));
+                recall(plan, holders.get(i), customer, available[i] - ideal);
             }
         }
     }
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceRetirement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceRetirement.java
@@ -7,8 +7,8 @@
  * @param leaderWallMillis the leader's time of day when it heard of the successor
  */
 public record SliceRetirement(String holder, LifeClock started, long leaderWallMillis) {
-    /** Leaves room for clocks of two instances that differ, in milliseconds. */
-    private static final long WALL_MARGIN_MILLIS = 400;
+    /** Time that a restarted control instance takes to lead, in milliseconds. */
+    private static final long RESTART_MILLIS = 3_000;
 
     /**
      * Returns whether the holder died while its lease ran. Within one run of the machine the steady
@@ -18,17 +18,15 @@
     boolean isWithin(SliceLease lease) {
         LifeClock last = lease.reported();
         boolean sameRun =
-                started.boot().equals(last.boot())
-                        && started.steadyMillis() >= last.steadyMillis();
+                started.boot().equals(last.boot()) && started.steadyMillis() >= last.steadyMillis();
         if (sameRun && started.steadyMillis() < lease.endMillis()) {
             return true;
         }
-        long most = SliceLease.MILLIS - WALL_MARGIN_MILLIS;
         long own = started.wallMillis() - last.wallMillis();
         long leaders = leaderWallMillis - lease.leaderWallMillis();
-        return own >= 0 && own < most && leaders >= 0 && leaders < most + RESTART_MILLIS;
+        return own >= 0
+                && own < SliceLease.MILLIS
+                && leaders >= 0
+                && leaders < SliceLease.MILLIS + RESTART_MILLIS;
     }
-
-    /** Time that a restarted control instance takes to lead, in milliseconds. */
-    private static final long RESTART_MILLIS = 3_000;
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
@@ -154,8 +154,7 @@
         byHolder.forEach(
                 (holder, held) ->
                         held.forEach(
-                                (customer, t) ->
-                                        items.add(new SliceStored(holder, customer, t))));
+                                (customer, t) -> items.add(new SliceStored(holder, customer, t))));
         consumed.forEach((customer, tokens) -> items.add(new ConsumedStored(customer, tokens)));
         leases.values().forEach(lease -> items.add(new LeaseStored(lease)));
         retired.forEach(holder -> items.add(new RetiredStored(holder)));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
@@ -9,10 +9,10 @@
 /** The tokens held for one request, from the slice of this instance. */
 final class TokenHold {
     /** How long a request waits for tokens from the leader, in milliseconds. */
-    private static final long LEADER_WAIT_MILLIS = 160;
+    private static final long LEADER_WAIT_MILLIS = 300;
 
     /** How long it then waits for tokens that other instances hold, in milliseconds. */
-    private static final long PEER_WAIT_MILLIS = 160;
+    private static final long PEER_WAIT_MILLIS = 200;
 
     /** Budget figures older than this do not prove that a budget is spent. */
     private static final long LEFT_AGE_MILLIS = 1_500;
