Share the work under way at upstreams among entry instances

Change: instances tell up to 12 others their work every 50 ms when it changes; expected time counts all of it; the scaling by the number of instances goes.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -27,14 +27,12 @@
      *
      * @param tried upstreams that had it already
      * @param deadlineLeftMillis time until it has to be answered
-     * @param instances live entry instances
      */
     public record Query(
             String service,
             Work work,
             Set<String> tried,
             long deadlineLeftMillis,
-            int instances,
             long nowMillis) {}
 
     /**
@@ -69,7 +67,7 @@
             }
         }
         PlacementPolicy.Choice choice =
-                placement.choose(query.work(), candidates, query.instances(), query.nowMillis());
+                placement.choose(query.work(), candidates, query.nowMillis());
         if (choice == null) {
             return Decision.refuse(
                     ResultCode.NO_UPSTREAM, NO_UPSTREAM_RETRY_MILLIS, candidates.size());
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
@@ -8,7 +8,7 @@
 
 /**
  * Places a request where its first event is expected soonest: time to read what is not cached, plus
- * own work that waits there, plus the way. The pattern answered: sessions share long prefixes, one
+ * the work that waits there, plus the way. The pattern answered: sessions share long prefixes, one
  * prefix turns hot, and many instances choose at once. Instances agree without talking on a first
  * choice for each prefix (rendezvous hashing, Thaler and Ravishankar 1998) and leave it as soon as
  * waiting there costs more than reading the prefix elsewhere.
@@ -39,7 +39,7 @@
 
     @Override
     public @Nullable Choice choose(
-            Work work, List<UpstreamLoad> upstreams, int instances, long nowMillis) {
+            Work work, List<UpstreamLoad> upstreams, long nowMillis) {
         String first = firstChoice(work, upstreams);
         Choice best = null;
         double bestCost = Double.MAX_VALUE;
@@ -48,25 +48,25 @@
                 continue;
             }
             boolean believed = upstream.heartbeat().id().equals(first);
-            double millis = expectedMillis(work, upstream, believed, instances);
+            double millis = expectedMillis(work, upstream, believed);
             double jitter = 1 + JITTER * random.nextInt(JITTER_STEPS) / JITTER_STEPS;
             double cost = millis * jitter * (1 + FAILURE_FACTOR * upstream.failureShare());
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new Choice(upstream, millis, occupancy(upstream, instances) < 1);
+                best = new Choice(upstream, millis, occupancy(upstream) < 1);
             }
         }
         return best;
     }
 
-    private static double occupancy(UpstreamLoad upstream, int instances) {
-        return (upstream.inFlight() * (double) instances + 1) / upstream.heartbeat().slots();
+    private static double occupancy(UpstreamLoad upstream) {
+        return (upstream.allInFlight() + 1.0) / upstream.heartbeat().slots();
     }
 
     private double expectedMillis(
-            Work work, UpstreamLoad upstream, boolean believed, int instances) {
+            Work work, UpstreamLoad upstream, boolean believed) {
         double way = place.isNear(upstream.heartbeat().dataCentre()) ? 0 : FAR_MILLIS;
-        double occupancy = occupancy(upstream, instances);
+        double occupancy = occupancy(upstream);
         if (work.promptTokens() == 0) {
             double turns = Math.max(0, occupancy - 0.5);
             return way + upstream.workMillis() * (1 + turns);
@@ -77,7 +77,7 @@
         }
         double unread = Math.max(0, work.promptTokens() - held);
         double again = Math.max(0, work.sharedTokens() - held);
-        double queued = upstream.waitingTokens() * Math.sqrt(instances);
+        double queued = upstream.allWaitingTokens();
         double crowding = 40 * occupancy + 400 * Math.max(0, occupancy - 1);
         return way + (unread + REREAD_WEIGHT * again + queued) / upstream.promptRate() + crowding;
     }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PlacementPolicy.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PlacementPolicy.java
@@ -5,12 +5,8 @@
 
 /** Chooses an upstream for a request. */
 public interface PlacementPolicy {
-    /**
-     * Chooses among the upstreams that take new work and have not had the request yet.
-     *
-     * @param instances live entry instances, which share the upstreams
-     */
-    @Nullable Choice choose(Work work, List<UpstreamLoad> upstreams, int instances, long nowMillis);
+    /** Chooses among the upstreams that take new work and have not had the request yet. */
+    @Nullable Choice choose(Work work, List<UpstreamLoad> upstreams, long nowMillis);
 
     /**
      * An upstream and why it was chosen.
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamBook.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamBook.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.directory.UpstreamState;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -90,6 +91,11 @@
         return found;
     }
 
+    /** Returns all upstreams that take new work. */
+    public Collection<UpstreamLoad> all() {
+        return byId.values();
+    }
+
     /** Returns the number of upstreams that take new work. */
     public int size() {
         return byId.size();
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
@@ -23,6 +23,8 @@
     private Heartbeat heartbeat;
     private int inFlight;
     private long waitingTokens;
+    private int othersInFlight;
+    private long othersWaitingTokens;
     private double promptRate = FIRST_PROMPT_RATE;
     private double workMillis = FIRST_WORK_MILLIS;
     private double failureShare;
@@ -54,6 +56,22 @@
         return waitingTokens;
     }
 
+    /** Sets the work that other instances have here. */
+    void setOthers(int requests, long tokens) {
+        othersInFlight = requests;
+        othersWaitingTokens = tokens;
+    }
+
+    /** Returns the requests of all instances, as far as they have told. */
+    public int allInFlight() {
+        return inFlight + othersInFlight;
+    }
+
+    /** Returns the waiting prompt tokens of all instances, as far as they have told. */
+    public long allWaitingTokens() {
+        return waitingTokens + othersWaitingTokens;
+    }
+
     /** Returns the prompt tokens that the upstream reads in a millisecond. */
     public double promptRate() {
         return promptRate;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
@@ -221,6 +221,7 @@
         if (peers != null) {
             peersKnown = peers.hashCode();
             peerTokens.setPeers(peers);
+            listener.onPeers(peers);
         }
         if (update.from().equals(update.leader())) {
             leaderHeardMillis = now;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetListener.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetListener.java
@@ -1,6 +1,7 @@
 package dev.jayturn.core.fleet;
 
 import dev.jayturn.core.directory.Heartbeat;
+import java.util.List;
 
 /** Told what the control instances say; every call comes on the entry instance's own thread. */
 public interface FleetListener {
@@ -10,6 +11,9 @@
     /** An upstream appeared, changed or left. */
     void onUpstream(Heartbeat heartbeat);
 
+    /** The live entry instances have changed; their link addresses, this one's included. */
+    void onPeers(List<String> peers);
+
     /** Slices grew, or more is known of them. */
     void onSlices();
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -14,7 +14,7 @@
  */
 public final class SlicePlanner {
     /** Time that a slice lasts at the present demand, in seconds. */
-    private static final double HORIZON_SECONDS = 13;
+    private static final double HORIZON_SECONDS = 10;
 
     /** Weight of an idle holder against the mean demand. */
     private static final double IDLE_WEIGHT = 0.25;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -8,6 +8,8 @@
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.dispatch.Dispatcher;
 import dev.jayturn.core.dispatch.ExpectedTimePlacement;
+import dev.jayturn.core.dispatch.LoadShare;
+import dev.jayturn.core.dispatch.PeerLoads;
 import dev.jayturn.core.dispatch.UpstreamBook;
 import dev.jayturn.core.fleet.ConfigurationDocument;
 import dev.jayturn.core.fleet.FleetEntry;
@@ -24,6 +26,7 @@
 import dev.jayturn.daemon.settings.SettingKey;
 import dev.jayturn.daemon.settings.Settings;
 import io.netty.channel.EventLoop;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.jspecify.annotations.Nullable;
 
@@ -51,7 +54,9 @@
     private final ProxyServer server;
     private final RandomSource random = new ThreadRandom();
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final UpstreamBook book = new UpstreamBook(this::cacheTokens);
     private @Nullable FleetEntry fleet;
+    private @Nullable PeerLoads peerLoads;
     private @Nullable RouteTable routes;
 
     public EntryProcess(
@@ -65,7 +70,6 @@
         this.codec = codec;
         this.log = log;
         this.timers = new LoopTimers(loop);
-        UpstreamBook book = new UpstreamBook(this::cacheTokens);
         Dispatcher dispatcher =
                 new Dispatcher(
                         book, new ExpectedTimePlacement(FleetSettings.place(settings), random));
@@ -96,8 +100,10 @@
                         System::currentTimeMillis,
                         MachineRun.id(),
                         this);
+        PeerLoads loads = new PeerLoads(self, book, transport, timers, random);
         fleet = entry;
-        forwarder.join(entry);
+        peerLoads = loads;
+        forwarder.join(entry, loads);
         server.listen(settings.address(SettingKey.FLEET_CALLERS));
         new CallServer(loop, readyCalls).listen(settings.address(SettingKey.FLEET_READY));
         log.event("entry.started", json -> json.writeStringField("instance", self));
@@ -105,11 +111,22 @@
 
     private void onMessage(Message message) {
         FleetEntry entry = fleet;
-        if (entry != null) {
+        PeerLoads loads = peerLoads;
+        if (loads != null && message instanceof LoadShare share) {
+            loads.onShare(share);
+        } else if (entry != null) {
             entry.handle(message);
         }
     }
 
+    @Override
+    public void onPeers(List<String> peers) {
+        PeerLoads loads = peerLoads;
+        if (loads != null) {
+            loads.setPeers(peers);
+        }
+    }
+
     private long cacheTokens(String service) {
         RouteTable table = routes;
         Service found = table == null ? null : table.service(service);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -13,6 +13,7 @@
 final class Attempt implements UpstreamListener {
     private final Exchange exchange;
     private final UpstreamLoad upstream;
+    private final Forwarder forwarder;
     private final TimerService timers;
     private final CallerCodec codec;
     private final boolean alone;
@@ -51,19 +52,16 @@
         }
     }
 
-    Attempt(
-            Exchange exchange,
-            UpstreamLoad upstream,
-            Work work,
-            TimerService timers,
-            CallerCodec codec) {
+    Attempt(Exchange exchange, UpstreamLoad upstream, Work work, Forwarder forwarder) {
         this.exchange = exchange;
         this.upstream = upstream;
-        this.timers = timers;
-        this.codec = codec;
+        this.forwarder = forwarder;
+        this.timers = forwarder.timers();
+        this.codec = forwarder.codec();
         this.startMillis = timers.nowMillis();
-        this.alone = upstream.waitingTokens() == 0;
+        this.alone = upstream.allWaitingTokens() == 0;
         this.unread = upstream.started(work);
+        forwarder.noteLoadChange();
     }
 
     UpstreamLoad upstream() {
@@ -103,6 +101,7 @@
             upstream.unanswered(unread);
         }
         upstream.ended();
+        forwarder.noteLoadChange();
     }
 
     private long elapsed() {
@@ -139,6 +138,7 @@
         if (failure == null) {
             answered = true;
             upstream.answered(unread, elapsed(), alone);
+            forwarder.noteLoadChange();
             exchange.onAnswer(response, success);
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -146,7 +146,6 @@
                         request.work(),
                         tried,
                         endMillis - now,
-                        forwarder.instances(),
                         now);
         Dispatcher.Decision decision =
                 forwarder.dispatcher().decide(query, u -> forwarder.hasConnection(target, u));
@@ -157,7 +156,7 @@
         }
         log.placed(decision, upstream);
         Attempt next =
-                new Attempt(this, upstream, request.work(), forwarder.timers(), forwarder.codec());
+                new Attempt(this, upstream, request.work(), forwarder);
         attempt = next;
         forwarder
                 .pools()
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -5,6 +5,7 @@
 import dev.jayturn.core.configuration.Service;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.dispatch.Dispatcher;
+import dev.jayturn.core.dispatch.PeerLoads;
 import dev.jayturn.core.dispatch.UpstreamBook;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.fleet.FleetEntry;
@@ -37,6 +38,7 @@
     private final Map<String, SharedRetryBudget> retries = new HashMap<>();
     private final List<Runnable> awaitingTokens = new ArrayList<>();
     private @Nullable FleetEntry fleet;
+    private @Nullable PeerLoads peerLoads;
     private @Nullable RouteTable routes;
     private boolean draining;
     private int open;
@@ -69,8 +71,16 @@
     }
 
     /** Sets the fleet; requests are refused until then. */
-    public void join(FleetEntry entry) {
+    public void join(FleetEntry entry, PeerLoads loads) {
         fleet = entry;
+        peerLoads = loads;
+    }
+
+    void noteLoadChange() {
+        PeerLoads loads = peerLoads;
+        if (loads != null) {
+            loads.noteChange();
+        }
     }
 
     /** Puts a configuration in force for all requests that come from now on. */
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -61,6 +61,7 @@
 import dev.jayturn.core.control.RuleLine;
 import dev.jayturn.core.control.RulesVersion;
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.dispatch.LoadShare;
 import dev.jayturn.core.fleet.ConfigurationAnswer;
 import dev.jayturn.core.fleet.ConfigurationCall;
 import dev.jayturn.core.fleet.ConfigurationStored;
@@ -169,6 +170,7 @@
                     TokenAsk.class,
                     TokenGive.class,
                     LeaseStored.class,
+                    LoadShare.class,
                     Subscribe.class);
 
     private WireTypes() {}
