--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceAccounts.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceAccounts.java
@@ -152,6 +152,16 @@
         epoch++;
     }
 
+    /** Returns what a decision on a customer's tokens rests on. */
+    public SliceView view(String customer) {
+        Account account = account(customer);
+        return new SliceView(
+                account.available(false),
+                account.mark - (account.spent + account.reserved - account.transferred),
+                leased,
+                account.left);
+    }
+
     /** Returns a report of every slice in use and starts the next interval. */
     public List<SliceStatus> report(long nowMillis) {
         List<SliceStatus> report = new ArrayList<>();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -130,6 +130,10 @@
 
     @Override
     public void refused(ResultCode code) {
+        TokenHold hold = tokens;
+        if (hold != null) {
+            log.shortOfTokens(hold, customer);
+        }
         refuse(code, code == ResultCode.BUDGET_SPENT ? 0 : TOKEN_RETRY_MILLIS);
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.dispatch.Dispatcher;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.slice.SliceView;
 import dev.jayturn.daemon.eventlog.EventLog;
 
 /** The log lines of one request, which all bear its id. */
@@ -29,6 +30,22 @@
                 });
     }
 
+    void shortOfTokens(TokenHold hold, String customer) {
+        SliceView view = hold.view();
+        log.event(
+                "budget.short",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeStringField("customer", customer);
+                    json.writeNumberField("tokens", hold.tokens());
+                    json.writeNumberField("free", view.free());
+                    json.writeNumberField("belowMark", view.belowMark());
+                    json.writeBooleanField("leased", view.leased());
+                    json.writeBooleanField("inTouch", hold.isInTouch());
+                    json.writeNumberField("left", view.left());
+                });
+    }
+
     void answered(long afterMillis) {
         if (firstMillis < 0) {
             firstMillis = afterMillis;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.fleet.FleetEntry;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.slice.SliceAccounts;
+import dev.jayturn.core.slice.SliceView;
 import dev.jayturn.core.timer.Subscription;
 import org.jspecify.annotations.Nullable;
 
@@ -108,6 +109,19 @@
         }
     }
 
+    /** Returns what the decision rested on, for the log. */
+    SliceView view() {
+        return fleet.slices().view(customer);
+    }
+
+    long tokens() {
+        return tokens;
+    }
+
+    boolean isInTouch() {
+        return fleet.isInTouch();
+    }
+
     private void cancelWait() {
         Subscription waiting = wait;
         if (waiting != null) {
