Never refuse a request that already holds its tokens

Change: no timer once the tokens are held, and a refusal never follows a hold. TokenHoldTest.aRequestThatGotItsTokensIsNeverRefusedAfterwards failed before and passes now.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
@@ -38,8 +38,7 @@
     }
 
     @Override
-    public @Nullable Choice choose(
-            Work work, List<UpstreamLoad> upstreams, long nowMillis) {
+    public @Nullable Choice choose(Work work, List<UpstreamLoad> upstreams, long nowMillis) {
         String first = firstChoice(work, upstreams);
         Choice best = null;
         double bestCost = Double.MAX_VALUE;
@@ -63,8 +62,7 @@
         return (upstream.allInFlight() + 1.0) / upstream.heartbeat().slots();
     }
 
-    private double expectedMillis(
-            Work work, UpstreamLoad upstream, boolean believed) {
+    private double expectedMillis(Work work, UpstreamLoad upstream, boolean believed) {
         double way = place.isNear(upstream.heartbeat().dataCentre()) ? 0 : FAR_MILLIS;
         double occupancy = occupancy(upstream);
         if (work.promptTokens() == 0) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PeerLoads.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PeerLoads.java
@@ -17,7 +17,9 @@
 public final class PeerLoads {
     private static final long SEND_MILLIS = 50;
 
-    /** Unchanged work is told again after this time, so that a lost message does no lasting harm. */
+    /**
+     * Unchanged work is told again after this time, so that a lost message does no lasting harm.
+     */
     private static final long REPEAT_MILLIS = 400;
 
     /** What an instance said so long ago no longer counts: it may be dead. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -114,7 +114,8 @@
         RaftNode raft =
                 new RaftNode(
                         config, journal.takeRecovered(), journal, transport, timers, random, state);
-        control = new FleetControl(
+        control =
+                new FleetControl(
                         self,
                         random.nextLong(),
                         raft,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -111,7 +111,14 @@
         timeout = forwarder.timers().schedule(wait, this::onTimeout);
         long most = request.work().mostTokens();
         if (holder != null && holder.prepaidTokens().isPresent() && most > 0) {
-            TokenHold hold = new TokenHold(forwarder, fleet, customer, most, this);
+            TokenHold hold =
+                    new TokenHold(
+                            forwarder.timers(),
+                            forwarder.tokenWaiters(),
+                            fleet,
+                            customer,
+                            most,
+                            this);
             tokens = hold;
             hold.take();
         } else {
@@ -145,12 +152,7 @@
         }
         long now = forwarder.timers().nowMillis();
         Dispatcher.Query query =
-                new Dispatcher.Query(
-                        target.name(),
-                        request.work(),
-                        tried,
-                        endMillis - now,
-                        now);
+                new Dispatcher.Query(target.name(), request.work(), tried, endMillis - now, now);
         Dispatcher.Decision decision =
                 forwarder.dispatcher().decide(query, u -> forwarder.hasConnection(target, u));
         UpstreamLoad upstream = decision.upstream();
@@ -159,8 +161,7 @@
             return;
         }
         log.placed(decision, upstream);
-        Attempt next =
-                new Attempt(this, upstream, request.work(), forwarder);
+        Attempt next = new Attempt(this, upstream, request.work(), forwarder);
         attempt = next;
         forwarder
                 .pools()
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -14,9 +14,7 @@
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.eventlog.EventLog;
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -36,7 +34,7 @@
     private final UpstreamPools pools;
     private final RetryBounds retryBounds;
     private final Map<String, SharedRetryBudget> retries = new HashMap<>();
-    private final List<Runnable> awaitingTokens = new ArrayList<>();
+    private final TokenWaiters tokenWaiters = new TokenWaiters();
     private @Nullable FleetEntry fleet;
     private @Nullable PeerLoads peerLoads;
     private @Nullable RouteTable routes;
@@ -98,9 +96,7 @@
 
     /** Lets requests that wait for tokens try again. */
     public void onSlices() {
-        List<Runnable> waiting = new ArrayList<>(awaitingTokens);
-        awaitingTokens.clear();
-        waiting.forEach(Runnable::run);
+        tokenWaiters.wake();
     }
 
     /** Has answers end their connections from now on. */
@@ -126,8 +122,8 @@
         open--;
     }
 
-    void awaitTokens(Runnable task) {
-        awaitingTokens.add(task);
+    TokenWaiters tokenWaiters() {
+        return tokenWaiters;
     }
 
     TimerService timers() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenHold.java
@@ -5,6 +5,7 @@
 import dev.jayturn.core.slice.SliceAccounts;
 import dev.jayturn.core.slice.SliceView;
 import dev.jayturn.core.timer.Subscription;
+import dev.jayturn.core.timer.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /** The tokens held for one request, from the slice of this instance. */
@@ -18,7 +19,8 @@
     /** Budget figures older than this do not prove that a budget is spent. */
     private static final long LEFT_AGE_MILLIS = 1_500;
 
-    private final Forwarder forwarder;
+    private final TimerService timers;
+    private final TokenWaiters waiters;
     private final FleetEntry fleet;
     private final String customer;
     private final long tokens;
@@ -35,8 +37,14 @@
     }
 
     TokenHold(
-            Forwarder forwarder, FleetEntry fleet, String customer, long tokens, Outcome outcome) {
-        this.forwarder = forwarder;
+            TimerService timers,
+            TokenWaiters waiters,
+            FleetEntry fleet,
+            String customer,
+            long tokens,
+            Outcome outcome) {
+        this.timers = timers;
+        this.waiters = waiters;
         this.fleet = fleet;
         this.customer = customer;
         this.tokens = tokens;
@@ -54,14 +62,18 @@
             return;
         }
         if (reservation == null) {
-            wait = forwarder.timers().schedule(LEADER_WAIT_MILLIS, this::askPeers);
-            forwarder.awaitTokens(this::retry);
+            wait = timers.schedule(LEADER_WAIT_MILLIS, this::askPeers);
+            waiters.add(this::retry);
         }
     }
 
     private void askPeers() {
         fleet.requestPeerTokens(customer, tokens);
-        wait = forwarder.timers().schedule(PEER_WAIT_MILLIS, this::refuse);
+        if (over || reservation != null) {
+            // Asking found tokens at once.
+            return;
+        }
+        wait = timers.schedule(PEER_WAIT_MILLIS, this::refuse);
     }
 
     private boolean tryReserve() {
@@ -82,17 +94,17 @@
         } else if (isSpent()) {
             refuse();
         } else {
-            forwarder.awaitTokens(this::retry);
+            waiters.add(this::retry);
         }
     }
 
     private boolean isSpent() {
-        long since = forwarder.timers().nowMillis() - LEFT_AGE_MILLIS;
+        long since = timers.nowMillis() - LEFT_AGE_MILLIS;
         return fleet.isInTouch() && fleet.slices().isKnownSpent(customer, tokens, since);
     }
 
     private void refuse() {
-        if (!over) {
+        if (!over && reservation == null) {
             over = true;
             cancelWait();
             outcome.refused(isSpent() ? ResultCode.BUDGET_SPENT : ResultCode.BUDGET_ELSEWHERE);
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenWaiters.java
@@ -0,0 +1,19 @@
+package dev.jayturn.daemon.proxy;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Requests that wait for tokens; all try again whenever tokens may have come. */
+final class TokenWaiters {
+    private final List<Runnable> waiting = new ArrayList<>();
+
+    void add(Runnable retry) {
+        waiting.add(retry);
+    }
+
+    void wake() {
+        List<Runnable> woken = new ArrayList<>(waiting);
+        waiting.clear();
+        woken.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenHoldTest.java
@@ -0,0 +1,156 @@
+package dev.jayturn.daemon.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.fleet.ConfigurationDocument;
+import dev.jayturn.core.fleet.EntryReport;
+import dev.jayturn.core.fleet.FleetEntry;
+import dev.jayturn.core.fleet.FleetListener;
+import dev.jayturn.core.fleet.FleetUpdate;
+import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.slice.SliceGrant;
+import dev.jayturn.core.virtual.SeededRandom;
+import dev.jayturn.core.virtual.VirtualNetwork;
+import dev.jayturn.core.virtual.VirtualProcess;
+import dev.jayturn.core.virtual.VirtualTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class TokenHoldTest implements FleetListener, TokenHold.Outcome {
+    private static final String ENTRY = "10.0.0.1:7000";
+    private static final String CONTROL = "10.0.0.9:7000";
+
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualNetwork network = new VirtualNetwork(time, new Random(1));
+    private final VirtualProcess process = new VirtualProcess(ENTRY, time, network);
+    private final VirtualProcess control = new VirtualProcess(CONTROL, time, network);
+    private final TokenWaiters waiters = new TokenWaiters();
+    private final List<String> outcomes = new ArrayList<>();
+    private FleetEntry fleet;
+    private String holder = "";
+
+    @BeforeEach
+    void start() {
+        network.faults(0, 0, 0);
+        control.onMessage(
+                (to, message) -> {
+                    if (message instanceof EntryReport report) {
+                        holder = report.holder();
+                    }
+                });
+        fleet =
+                new FleetEntry(
+                        ENTRY,
+                        List.of(CONTROL),
+                        process,
+                        process,
+                        new SeededRandom(new Random(1)),
+                        time::nowMillis,
+                        "run-1",
+                        this);
+        time.runFor(50);
+    }
+
+    private void grant(long issued, long mark, long left, long leaseMillis) {
+        fleet.handle(
+                new FleetUpdate(
+                        CONTROL,
+                        holder,
+                        false,
+                        CONTROL,
+                        List.of(CONTROL),
+                        List.of(ENTRY),
+                        1,
+                        0,
+                        null,
+                        1,
+                        0,
+                        List.of(),
+                        List.of(),
+                        time.nowMillis() + leaseMillis,
+                        List.of(new SliceGrant("roy", issued, mark, left, 0))));
+    }
+
+    private TokenHold hold(long tokens) {
+        TokenHold hold = new TokenHold(process, waiters, fleet, "roy", tokens, this);
+        hold.take();
+        return hold;
+    }
+
+    @Test
+    void aRequestThatGotItsTokensIsNeverRefusedAfterwards() {
+        // The lease ends while the request waits: the whole slice is free then, without a message.
+        grant(1_000, 50, 1_000, 200);
+        hold(100);
+        time.runFor(5_000);
+        assertThat(outcomes).containsExactly("held");
+    }
+
+    @Test
+    void aRequestGoesOnAsSoonAsTheMarkIsRaised() {
+        grant(1_000, 50, 1_000, 3_000);
+        hold(100);
+        time.runFor(80);
+        assertThat(outcomes).isEmpty();
+        grant(1_000, 500, 1_000, 3_000);
+        assertThat(outcomes).containsExactly("held");
+    }
+
+    @Test
+    void aBudgetThatIsSpentEverywhereIsSaidToBeSpentAtOnce() {
+        grant(50, 50, 60, 3_000);
+        hold(100);
+        assertThat(outcomes).containsExactly("refused BUDGET_SPENT");
+    }
+
+    @Test
+    void whileTokensAreLeftElsewhereTheRefusalSaysSo() {
+        grant(50, 50, 5_000, 3_000);
+        hold(100);
+        time.runFor(5_000);
+        assertThat(outcomes).containsExactly("refused BUDGET_ELSEWHERE");
+    }
+
+    @Test
+    void whatWasNotSpentIsFreeForTheNextRequest() {
+        grant(1_000, 1_000, 1_000, 3_000);
+        TokenHold first = hold(800);
+        first.settle(200);
+        hold(800);
+        assertThat(outcomes).containsExactly("held", "held");
+    }
+
+    @Override
+    public void held() {
+        outcomes.add("held");
+    }
+
+    @Override
+    public void refused(ResultCode code) {
+        outcomes.add("refused " + code.name());
+    }
+
+    @Override
+    public void onConfiguration(ConfigurationDocument document) {
+        // Not looked at here.
+    }
+
+    @Override
+    public void onUpstream(Heartbeat heartbeat) {
+        // Not looked at here.
+    }
+
+    @Override
+    public void onPeers(List<String> peers) {
+        // Not looked at here.
+    }
+
+    @Override
+    public void onSlices() {
+        waiters.wake();
+    }
+}
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -69,6 +69,8 @@
 import dev.jayturn.core.fleet.FleetUpdate;
 import dev.jayturn.core.fleet.HeartbeatShare;
 import dev.jayturn.core.fleet.PutConfiguration;
+import dev.jayturn.core.fleet.TokenAsk;
+import dev.jayturn.core.fleet.TokenGive;
 import dev.jayturn.core.membership.Announce;
 import dev.jayturn.core.membership.HubQuery;
 import dev.jayturn.core.membership.HubReading;
@@ -77,12 +79,10 @@
 import dev.jayturn.core.membership.Subscribe;
 import dev.jayturn.core.rules.RulesUpdate;
 import dev.jayturn.core.slice.ConsumedStored;
+import dev.jayturn.core.slice.LeaseStored;
 import dev.jayturn.core.slice.RetiredStored;
 import dev.jayturn.core.slice.SliceChange;
 import dev.jayturn.core.slice.SliceStored;
-import dev.jayturn.core.fleet.TokenAsk;
-import dev.jayturn.core.fleet.TokenGive;
-import dev.jayturn.core.slice.LeaseStored;
 import java.util.List;
 
 /** The types that may be sent or kept; their simple names are part of the format. */
