Test slices, configuration and membership of the fleet in virtual time

Change: control and entry instances run in virtual time with cuts, deaths, freezes, top-ups and lossy links; 30 seeds overspend nothing; 98 in 100 calls are served in a cut of 8 s and 97 in 100 tokens are usable.

--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -23,9 +23,9 @@
     private static final double BASE_SHARE = 0.1;
 
     /** Time for which a mark lasts at the present demand: a lease and its renewal, in seconds. */
-    private static final double MARK_SECONDS = 3;
+    private static final double MARK_SECONDS = 3.6;
 
-    private static final double MARK_BELOW = 0.6;
+    private static final double MARK_BELOW = 0.9;
 
     /** A holder gives back what goes beyond this multiple of what it is due. */
     private static final double KEEP_FACTOR = 1.6;
--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/FleetSlicesTest.java
@@ -0,0 +1,138 @@
+package dev.jayturn.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class FleetSlicesTest {
+    private static final int ENTRIES = 6;
+    private static final long PREPAID = 400_000;
+
+    private static final ConfigurationReply IGNORED =
+            new ConfigurationReply() {
+                @Override
+                public void confirmed(ConfigurationDocument document) {
+                    // Looked at by its effect.
+                }
+
+                @Override
+                public void unsure() {
+                    // Looked at by its effect.
+                }
+            };
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, 30);
+    }
+
+    private static VirtualFleet started(long seed) {
+        VirtualFleet fleet = new VirtualFleet(seed, 3, ENTRIES);
+        fleet.network.faults(0, 0, 2);
+        fleet.time.runFor(3_000);
+        fleet.put(1, Map.of("roy", PREPAID), IGNORED);
+        fleet.time.runFor(2_000);
+        return fleet;
+    }
+
+    private static void calls(VirtualFleet fleet, int count, long tokens) {
+        for (int i = 0; i < count; i++) {
+            fleet.time.runFor(20);
+            fleet.entries.get("entry-" + fleet.random.nextInt(ENTRIES)).call("roy", tokens);
+        }
+    }
+
+    @Test
+    void nearlyAllOfABudgetCanBeSpentWhileInTouch() {
+        VirtualFleet fleet = started(1);
+        calls(fleet, 1_200, 500);
+        assertThat(fleet.spentBy("roy")).isLessThanOrEqualTo(PREPAID);
+        assertThat(fleet.spentBy("roy")).isGreaterThanOrEqualTo((long) (0.97 * PREPAID));
+    }
+
+    @Test
+    void entryInstancesGoOnWhenAllAreCutOffFromControl() {
+        VirtualFleet fleet = started(2);
+        calls(fleet, 300, 500);
+        fleet.refused.clear();
+        long before = fleet.spentBy("roy");
+        fleet.network.cutOff("core");
+        calls(fleet, 400, 250);
+        fleet.network.heal();
+        long served = (fleet.spentBy("roy") - before) / 250;
+        assertThat(served).isGreaterThanOrEqualTo(390);
+    }
+
+    @Test
+    void whatADeadInstanceDidNotDrawIsIssuedAgain() {
+        VirtualFleet fleet = started(3);
+        calls(fleet, 200, 500);
+        for (int i = 0; i < ENTRIES; i++) {
+            fleet.entries.get("entry-" + i).process.kill();
+        }
+        fleet.time.runFor(1_200);
+        for (int i = 0; i < ENTRIES; i++) {
+            String name = "entry-" + i;
+            fleet.entries.put(name, fleet.new EntryLife(name, "run-0"));
+        }
+        fleet.time.runFor(2_000);
+        calls(fleet, 1_000, 500);
+        assertThat(fleet.spentBy("roy")).isLessThanOrEqualTo(PREPAID);
+        assertThat(fleet.spentBy("roy")).isGreaterThanOrEqualTo((long) (0.7 * PREPAID));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noBudgetIsOverspentThroughCutsDeathsAndTopUps(long seed) {
+        VirtualFleet fleet = started(seed);
+        fleet.network.faults(0.02, 0.02, 20);
+        long prepaid = PREPAID;
+        for (int step = 0; step < 60; step++) {
+            switch (fleet.random.nextInt(8)) {
+                case 0:
+                    fleet.network.cutOff("core");
+                    break;
+                case 1:
+                    fleet.network.cutOff("front-" + fleet.random.nextInt(ENTRIES));
+                    break;
+                case 2:
+                    fleet.network.heal();
+                    break;
+                case 3:
+                    restartEntry(fleet, fleet.random.nextInt(ENTRIES));
+                    break;
+                case 4:
+                    fleet.controls.get("control-" + fleet.random.nextInt(3)).restart();
+                    break;
+                case 5:
+                    fleet.entries
+                            .get("entry-" + fleet.random.nextInt(ENTRIES))
+                            .process
+                            .freeze(fleet.random.nextInt(5_000));
+                    break;
+                case 6:
+                    prepaid += 5_000;
+                    fleet.put(2 + step, Map.of("roy", prepaid), IGNORED);
+                    break;
+                default:
+                    break;
+            }
+            calls(fleet, 30, 200 + fleet.random.nextInt(600));
+            assertThat(fleet.spentBy("roy")).isLessThanOrEqualTo(prepaid);
+        }
+        fleet.network.heal();
+        fleet.time.runFor(3_000);
+        calls(fleet, 300, 500);
+        assertThat(fleet.spentBy("roy")).isLessThanOrEqualTo(prepaid);
+    }
+
+    private static void restartEntry(VirtualFleet fleet, int number) {
+        String name = "entry-" + number;
+        fleet.entries.get(name).process.kill();
+        fleet.time.runFor(fleet.random.nextInt(4_000));
+        fleet.entries.put(name, fleet.new EntryLife(name, "run-0"));
+    }
+}
