Test the slice table and accounts by themselves

Cause: mutants that issue beyond the budget, spend beyond the mark or take returns from retired holders were found by no test. Result: each of these lines now has a test of its own (13 tests).

--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/slice/SliceAccountsTest.java
@@ -0,0 +1,58 @@
+package dev.jayturn.core.slice;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class SliceAccountsTest {
+    private final SliceAccounts accounts = new SliceAccounts();
+
+    private void grant(long issued, long mark, long recall) {
+        accounts.accept(new SliceGrant("roy", issued, mark, issued, recall), 0);
+    }
+
+    @Test
+    void underALeaseNoMoreThanTheMarkIsDrawn() {
+        grant(1_000, 300, 0);
+        assertThat(accounts.hasFree("roy", 301)).isFalse();
+        accounts.setLeased(false);
+        assertThat(accounts.hasFree("roy", 1_000)).isTrue();
+    }
+
+    @Test
+    void whatIsGivenToAnotherHolderCountsAsDrawn() {
+        grant(1_000, 300, 0);
+        assertThat(accounts.give("roy", 200, "other")).isEqualTo(200);
+        assertThat(accounts.hasFree("roy", 101)).isFalse();
+    }
+
+    @Test
+    void aGiftThatIsToldTwiceIsCreditedOnce() {
+        grant(0, 0, 0);
+        accounts.receive("other", "roy", 200);
+        accounts.receive("other", "roy", 200);
+        accounts.receive("other", "roy", 150);
+        assertThat(accounts.hasFree("roy", 200)).isTrue();
+        assertThat(accounts.hasFree("roy", 201)).isFalse();
+    }
+
+    @Test
+    void onlyFreeTokensThatWereIssuedHereAreGivenBack() {
+        grant(100, 1_000, 0);
+        accounts.receive("other", "roy", 500);
+        accounts.returnAll();
+        assertThat(accounts.hasFree("roy", 500)).isTrue();
+        assertThat(accounts.hasFree("roy", 501)).isFalse();
+    }
+
+    @Test
+    void aReservationOfAnEarlierIncarnationIsForgotten() {
+        grant(1_000, 1_000, 0);
+        SliceAccounts.Reservation held = accounts.reserve("roy", 400);
+        accounts.startAnew();
+        grant(1_000, 1_000, 0);
+        accounts.settle(held, 0);
+        assertThat(accounts.hasFree("roy", 1_000)).isTrue();
+        assertThat(accounts.hasFree("roy", 1_001)).isFalse();
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/slice/SliceTableTest.java
@@ -0,0 +1,132 @@
+package dev.jayturn.core.slice;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class SliceTableTest {
+    private static final String HOLDER = "10.0.0.1:7000#a";
+    private static final LifeClock REPORTED = new LifeClock("run-1", 10_000, 500_000);
+
+    private final SliceTable table = new SliceTable();
+
+    @BeforeEach
+    void prepay() {
+        table.setPrepaid(Map.of("roy", 1_000L));
+    }
+
+    private void issue(String holder, long tokens) {
+        table.apply(
+                new SliceChange(
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(new SliceIssue(holder, "roy", tokens))));
+    }
+
+    private void lease(long mark) {
+        table.apply(
+                new SliceChange(
+                        List.of(),
+                        List.of(),
+                        List.of(new SliceLease(HOLDER, REPORTED, 500_000)),
+                        List.of(new SliceMark(HOLDER, "roy", mark)),
+                        List.of()));
+    }
+
+    private void retire(LifeClock started, long leaderWallMillis) {
+        table.apply(
+                new SliceChange(
+                        List.of(),
+                        List.of(new SliceRetirement(HOLDER, started, leaderWallMillis)),
+                        List.of(),
+                        List.of(),
+                        List.of()));
+    }
+
+    private void giveBack(long total) {
+        table.apply(
+                new SliceChange(
+                        List.of(new SliceReturn(HOLDER, "roy", total)),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of()));
+    }
+
+    @Test
+    void noMoreIsIssuedThanWasPrepaid() {
+        issue(HOLDER, 700);
+        issue("10.0.0.2:7000#b", 700);
+        assertThat(table.totals("10.0.0.2:7000#b", "roy").issued()).isEqualTo(300);
+        assertThat(table.unissued("roy")).isZero();
+    }
+
+    @Test
+    void whatIsGivenBackCanBeIssuedAgainOnce() {
+        issue(HOLDER, 700);
+        giveBack(200);
+        giveBack(200);
+        giveBack(100);
+        assertThat(table.unissued("roy")).isEqualTo(500);
+    }
+
+    @Test
+    void aHolderThatDiedWithinItsLeaseMayHaveSpentItsMark() {
+        issue(HOLDER, 700);
+        lease(150);
+        retire(new LifeClock("run-1", 12_000, 502_000), 503_000);
+        assertThat(table.unissued("roy")).isEqualTo(850);
+    }
+
+    @Test
+    void aHolderThatOutlivedItsLeaseMayHaveSpentItAll() {
+        issue(HOLDER, 700);
+        lease(150);
+        retire(new LifeClock("run-1", 14_000, 504_000), 505_000);
+        assertThat(table.unissued("roy")).isEqualTo(300);
+    }
+
+    @Test
+    void afterAPowerLossOneClockThatJumpedBackProvesNothing() {
+        issue(HOLDER, 700);
+        lease(150);
+        retire(new LifeClock("run-2", 300, 501_000), 520_000);
+        assertThat(table.unissued("roy")).isEqualTo(300);
+    }
+
+    @Test
+    void afterAPowerLossTheTimesOfDayTogetherProveADeathWithinTheLease() {
+        issue(HOLDER, 700);
+        lease(150);
+        retire(new LifeClock("run-2", 300, 502_500), 504_000);
+        assertThat(table.unissued("roy")).isEqualTo(850);
+    }
+
+    @Test
+    void aRetiredHolderIsIssuedNothingAndGivesNothingBack() {
+        issue(HOLDER, 700);
+        retire(new LifeClock("run-1", 90_000, 900_000), 900_000);
+        giveBack(700);
+        issue(HOLDER, 100);
+        assertThat(table.totals(HOLDER, "roy").issued()).isZero();
+        assertThat(table.isRetired(HOLDER)).isTrue();
+    }
+
+    @Test
+    void aSnapshotRestoresTheTable() {
+        issue(HOLDER, 700);
+        lease(150);
+        issue("10.0.0.2:7000#b", 100);
+        retire(new LifeClock("run-1", 12_000, 502_000), 503_000);
+        SliceTable copy = new SliceTable();
+        copy.setPrepaid(table.prepaid());
+        table.snapshot().forEach(copy::restore);
+        assertThat(copy.unissued("roy")).isEqualTo(table.unissued("roy"));
+        assertThat(copy.isRetired(HOLDER)).isTrue();
+    }
+}
