--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -76,7 +76,9 @@
         applyTo(log.notedCommit());
         machine.committedForGood(appliedIndex);
         leaderHeardMillis = timers.nowMillis() - config.electionMillis();
-        resetElection();
+        // Asking early disturbs nobody who has a leader: a pre-vote comes first.
+        electionAtMillis =
+                timers.nowMillis() + 1 + random.nextInt((int) config.electionMillis());
         if (members.voters() == 1) {
             // Nobody else can lead, so there is nothing to wait for.
             electionAtMillis = timers.nowMillis();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -40,8 +40,8 @@
     /** Identity of the stores of those that start a new fleet, the same for all. */
     private static final String FOUNDER = "founder";
 
-    private static final long ELECTION_MILLIS = 700;
-    private static final long HEARTBEAT_MILLIS = 150;
+    private static final long ELECTION_MILLIS = 500;
+    private static final long HEARTBEAT_MILLIS = 120;
     private static final int SNAPSHOT_ENTRIES = 400;
 
     private final Settings settings;
