Keep each customer's slice at one instance of a data centre

Cause: a slice for each pair of instance and customer holds at least one request's tokens; with 80 instances and 24 customers that is a third of all budgets, and on the small sites the marks of 60 pairs were lost at each death of all processes. Change: slices are issued to a home instance for each customer and data centre (rendezvous hashing); the others ask it. Slices and marks go out with reports, at once only to those that wait. Reports to control instances that do not lead are rarer, parts in numbers are encoded by position. Ruled out: telling 80 instances each other's work (19,000 messages a second); beyond 16 nobody is told.

--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -77,8 +77,7 @@
         machine.committedForGood(appliedIndex);
         leaderHeardMillis = timers.nowMillis() - config.electionMillis();
         // Asking early disturbs nobody who has a leader: a pre-vote comes first.
-        electionAtMillis =
-                timers.nowMillis() + 1 + random.nextInt((int) config.electionMillis());
+        electionAtMillis = timers.nowMillis() + 1 + random.nextInt((int) config.electionMillis());
         if (members.voters() == 1) {
             // Nobody else can lead, so there is nothing to wait for.
             electionAtMillis = timers.nowMillis();
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PeerLoads.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PeerLoads.java
@@ -1,6 +1,5 @@
 package dev.jayturn.core.dispatch;
 
-import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.core.transport.Transport;
 import java.util.ArrayList;
@@ -25,45 +24,33 @@
     /** What an instance said so long ago no longer counts: it may be dead. */
     private static final long FORGET_MILLIS = 1_500;
 
-    /** Instances told at most; with more of them the sum is scaled up. */
-    private static final int MAX_PEERS = 12;
+    /** With more instances than this nobody is told: messages grow with the square of them. */
+    private static final int MAX_PEERS = 16;
 
     private final String self;
     private final UpstreamBook book;
     private final Transport transport;
     private final TimerService timers;
-    private final RandomSource random;
     private final Map<String, Share> shares = new HashMap<>();
     private List<String> peers = List.of();
-    private int others;
     private boolean changed;
     private boolean sendPending;
 
     private record Share(long atMillis, List<UpstreamWork> work) {}
 
-    public PeerLoads(
-            String self,
-            UpstreamBook book,
-            Transport transport,
-            TimerService timers,
-            RandomSource random) {
+    public PeerLoads(String self, UpstreamBook book, Transport transport, TimerService timers) {
         this.self = self;
         this.book = book;
         this.transport = transport;
         this.timers = timers;
-        this.random = random;
         timers.every(REPEAT_MILLIS, this::repeat);
     }
 
-    /** Sets the live entry instances; of many, some are drawn to be told. */
+    /** Sets the live entry instances. */
     public void setPeers(List<String> addresses) {
-        List<String> drawn = new ArrayList<>(addresses);
-        drawn.remove(self);
-        others = drawn.size();
-        while (drawn.size() > MAX_PEERS) {
-            drawn.remove(random.nextInt(drawn.size()));
-        }
-        peers = drawn;
+        List<String> others = new ArrayList<>(addresses);
+        others.remove(self);
+        peers = others.size() > MAX_PEERS ? List.of() : others;
     }
 
     /** Notes that the work of this instance changed. */
@@ -85,6 +72,9 @@
 
     private void send() {
         sendPending = false;
+        if (peers.isEmpty()) {
+            return;
+        }
         List<UpstreamWork> work = new ArrayList<>();
         for (UpstreamLoad upstream : book.all()) {
             if (upstream.inFlight() > 0) {
@@ -128,14 +118,12 @@
                 sums.merge(work.upstream(), work, PeerLoads::sum);
             }
         }
-        double scale = shares.isEmpty() ? 1 : Math.max(1, others / (double) shares.size());
         for (UpstreamLoad upstream : book.all()) {
             UpstreamWork work = sums.get(upstream.heartbeat().id());
             if (work == null) {
                 upstream.setOthers(0, 0);
             } else {
-                upstream.setOthers(
-                        (int) (scale * work.inFlight()), (long) (scale * work.waitingTokens()));
+                upstream.setOthers(work.inFlight(), work.waitingTokens());
             }
         }
     }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryReport.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryReport.java
@@ -9,6 +9,7 @@
  * What an entry instance tells a control instance several times a second.
  *
  * @param from link address of the entry instance
+ * @param dataCentre where it stands
  * @param holder its incarnation, as the holder of slices
  * @param started its clocks when it began
  * @param now its clocks now
@@ -21,6 +22,7 @@
  */
 public record EntryReport(
         String from,
+        String dataCentre,
         String holder,
         LifeClock started,
         LifeClock now,
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -21,7 +21,7 @@
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
 import java.util.ArrayList;
-import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -32,21 +32,18 @@
 /** A control instance's side of the fleet: its entry instances, its upstreams and the slices. */
 public final class FleetControl {
     /** An entry instance that has not reported for so long is not counted as live. */
-    private static final long LIVE_MILLIS = 2_000;
+    private static final long LIVE_MILLIS = 3_000;
 
     private static final long PLAN_MILLIS = 100;
 
     /** A lease is renewed once the holder's report is so much newer. */
-    private static final long LEASE_RENEW_MILLIS = 250;
+    private static final long LEASE_RENEW_MILLIS = 450;
 
     private static final long SHARE_MILLIS = 1_000;
 
     /** Time after which the configuration is sent again to an entry that still lacks it. */
     private static final long RESEND_MILLIS = 600;
 
-    /** Upstreams heard of within this time are listed to entries. */
-    private static final long HEARD_MILLIS = 2_500;
-
     private final String self;
     private final long epoch;
     private final RaftNode raft;
@@ -63,6 +60,7 @@
 
     private static final class Entry {
         String holder = "";
+        String dataCentre = "";
         long heardMillis;
         long version;
         long documentSentMillis = Long.MIN_VALUE / 2;
@@ -99,7 +97,7 @@
         this.transport = transport;
         this.timers = timers;
         this.desk = new ConfigurationDesk(self, raft, state, transport, timers);
-        state.onChange(this::schedulePush);
+        state.onChange(this::schedulePush, this::pushAwaited);
         timers.every(PLAN_MILLIS, this::tick);
     }
 
@@ -165,6 +163,7 @@
             entry.firstWallMillis = wallClock.wallMillis();
         }
         entry.holder = report.holder();
+        entry.dataCentre = report.dataCentre();
         entry.heardMillis = timers.nowMillis();
         entry.version = report.configurationVersion();
         entry.tableEpoch = report.tableEpoch();
@@ -172,12 +171,10 @@
         entry.leaving = report.leaving();
         entry.now = report.now();
         entry.peersKnown = report.peersKnown();
-        boolean isShort = false;
         for (SliceStatus status : report.slices()) {
             entry.slices.put(status.customer(), status);
-            isShort |= status.shortage() > 0;
         }
-        if (raft.isLeader() && (isShort || report.leaving())) {
+        if (raft.isLeader() && (isShort(entry) || report.leaving())) {
             planSlices();
         }
         push(report.from(), entry);
@@ -205,15 +202,15 @@
         return timers.nowMillis() - entry.heardMillis < LIVE_MILLIS;
     }
 
-    private List<String> liveEntries() {
-        List<String> live = new ArrayList<>();
+    private List<Peer> liveEntries() {
+        List<Peer> live = new ArrayList<>();
         entries.forEach(
                 (address, entry) -> {
                     if (isLive(entry) && !entry.leaving) {
-                        live.add(address);
+                        live.add(new Peer(address, entry.dataCentre));
                     }
                 });
-        Collections.sort(live);
+        live.sort(Comparator.comparing(Peer::address));
         return live;
     }
 
@@ -236,7 +233,7 @@
                 }
             }
             if (!entry.leaving) {
-                holders.add(new SlicePlanner.Holder(entry.holder, entry.slices));
+                holders.add(new SlicePlanner.Holder(entry.holder, entry.dataCentre, entry.slices));
             }
         }
         SlicePlanner.Plan plan = SlicePlanner.plan(table, holders);
@@ -327,6 +324,27 @@
         }
     }
 
+    /** Tells those whose requests wait for tokens at once; the others hear with their reports. */
+    private void pushAwaited() {
+        if (raft.isLeader()) {
+            entries.forEach(
+                    (address, entry) -> {
+                        if (isLive(entry) && isShort(entry)) {
+                            push(address, entry);
+                        }
+                    });
+        }
+    }
+
+    private static boolean isShort(Entry entry) {
+        for (SliceStatus status : entry.slices.values()) {
+            if (status.shortage() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void pushAll() {
         pushPending = false;
         entries.forEach(
@@ -354,12 +372,8 @@
             entry.documentSentVersion = held.version();
             entry.documentSentMillis = now;
         }
-        List<String> heard = new ArrayList<>();
-        for (Heartbeat heartbeat : upstreams.heardSince(now - HEARD_MILLIS)) {
-            heard.add(heartbeat.id());
-        }
         String leader = raft.leader();
-        List<String> live = liveEntries();
+        List<Peer> live = liveEntries();
         SliceLease lease = state.slices().lease(entry.holder);
         return new FleetUpdate(
                 self,
@@ -374,7 +388,6 @@
                 epoch,
                 upstreams.revision(),
                 upstreams.changedSince(entry.tableRevision),
-                heard,
                 lease == null || grants.isEmpty() && !raft.isLeader() ? 0 : lease.endMillis(),
                 grants);
     }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetEntry.java
@@ -11,7 +11,6 @@
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,6 +21,12 @@
 public final class FleetEntry {
     private static final long REPORT_MILLIS = 300;
 
+    /** Time between reports to control instances that do not lead. */
+    private static final long IDLE_REPORT_MILLIS = 1_200;
+
+    /** With more entry instances than this each reports half as often. */
+    private static final int MANY_ENTRIES = 24;
+
     /** A shortage is reported at once, but not more often than this. */
     private static final long URGENT_MILLIS = 40;
 
@@ -40,7 +45,7 @@
     private final SliceAccounts slices = new SliceAccounts();
     private final PeerTokens peerTokens;
     private final Map<String, Control> controls = new LinkedHashMap<>();
-    private final Map<String, Long> heardMillis = new HashMap<>();
+    private final String dataCentre;
     private final String boot;
     private final WallClock wallClock;
     private LifeClock started;
@@ -52,6 +57,7 @@
     private int entries = 1;
     private int peersKnown;
     private long lastReportMillis;
+    private long ticks;
     private boolean urgent;
     private boolean leaving;
     private boolean heardLeader;
@@ -60,10 +66,12 @@
         long epoch;
         long revision;
         long heardMillis;
+        long reportedMillis;
     }
 
     public FleetEntry(
             String self,
+            String dataCentre,
             List<String> seeds,
             Transport transport,
             TimerService timers,
@@ -71,6 +79,7 @@
             WallClock wallClock,
             String boot,
             FleetListener listener) {
+        this.dataCentre = dataCentre;
         this.wallClock = wallClock;
         this.boot = boot;
         this.self = self;
@@ -86,7 +95,7 @@
         for (String seed : seeds) {
             controls.put(seed, new Control());
         }
-        timers.every(REPORT_MILLIS, this::report);
+        timers.every(REPORT_MILLIS, this::tick);
         timers.schedule(0, this::report);
     }
 
@@ -119,41 +128,32 @@
         return timers.nowMillis() - leaderHeardMillis < TOUCH_MILLIS;
     }
 
-    /** Returns when some control instance last listed an upstream as heard of; 0 if none did. */
-    public long upstreamHeardMillis(String id) {
-        return heardMillis.getOrDefault(id, 0L);
-    }
-
-    /** Returns when any control instance was last heard of. */
-    public long controlHeardMillis() {
-        long newest = 0;
-        for (Control control : controls.values()) {
-            newest = Math.max(newest, control.heardMillis);
-        }
-        return newest;
-    }
-
     /**
-     * Asks for tokens that a request lacks: the leader, or the other instances while it is away.
+     * Asks for tokens that a request lacks: the instance that keeps the customer's slice in this
+     * data centre, and through it the leader, or the other instances while the leader is away.
      *
      * @return whether anybody may still have some
      */
     public boolean requestTokens(String customer, long tokens) {
-        slices.noteShortage(customer, tokens);
-        if (!isInTouch()) {
-            return peerTokens.request(holder, customer, tokens);
+        if (isInTouch() && peerTokens.isHome(customer)) {
+            reportShortage(customer, tokens);
+            return true;
         }
+        return peerTokens.request(holder, customer, tokens, isInTouch());
+    }
+
+    private void reportShortage(String customer, long tokens) {
+        slices.noteShortage(customer, tokens);
         if (!urgent) {
             urgent = true;
             long wait = Math.max(0, lastReportMillis + URGENT_MILLIS - timers.nowMillis());
             timers.schedule(wait, this::report);
         }
-        return true;
     }
 
     /** Asks the other instances, after the leader has not helped. */
     public void requestPeerTokens(String customer, long tokens) {
-        peerTokens.request(holder, customer, tokens);
+        peerTokens.request(holder, customer, tokens, false);
     }
 
     /** Gives all free tokens back; call once nothing more will be spent. */
@@ -163,6 +163,13 @@
         report();
     }
 
+    private void tick() {
+        ticks++;
+        if (entries <= MANY_ENTRIES || ticks % 2 == 0) {
+            report();
+        }
+    }
+
     private void report() {
         urgent = false;
         lastReportMillis = timers.nowMillis();
@@ -172,10 +179,15 @@
         controls.forEach(
                 (address, control) -> {
                     boolean full = address.equals(leader) || !knowsLeader;
+                    if (!full && lastReportMillis - control.reportedMillis < IDLE_REPORT_MILLIS) {
+                        return;
+                    }
+                    control.reportedMillis = lastReportMillis;
                     transport.send(
                             address,
                             new EntryReport(
                                     self,
+                                    dataCentre,
                                     holder,
                                     started,
                                     now,
@@ -193,7 +205,10 @@
         if (message instanceof FleetUpdate update && update.holder().equals(holder)) {
             onUpdate(update);
         } else if (message instanceof TokenAsk ask) {
-            slices();
+            boolean enough = slices().hasFree(ask.customer(), ask.tokens());
+            if (!enough && isInTouch() && peerTokens.isHome(ask.customer())) {
+                reportShortage(ask.customer(), ask.tokens());
+            }
             peerTokens.onAsk(ask, holder);
         } else if (message instanceof TokenGive give) {
             peerTokens.onGive(give, holder);
@@ -217,18 +232,14 @@
             heardLeader = true;
             entries = Math.max(1, update.entries());
         }
-        List<String> peers = update.peers();
+        List<Peer> peers = update.peers();
         if (peers != null) {
             peersKnown = peers.hashCode();
-            peerTokens.setPeers(peers);
-            listener.onPeers(peers);
+            updatePeers(peers);
         }
         if (update.from().equals(update.leader())) {
             leaderHeardMillis = now;
         }
-        for (String id : update.heard()) {
-            heardMillis.put(id, now);
-        }
         for (Heartbeat heartbeat : update.upstreams()) {
             listener.onUpstream(heartbeat);
         }
@@ -254,6 +265,19 @@
         }
     }
 
+    private void updatePeers(List<Peer> peers) {
+        List<String> all = new ArrayList<>();
+        List<String> near = new ArrayList<>();
+        for (Peer peer : peers) {
+            all.add(peer.address());
+            if (peer.dataCentre().equals(dataCentre)) {
+                near.add(peer.address());
+            }
+        }
+        peerTokens.setPeers(all, near);
+        listener.onPeers(all);
+    }
+
     private void updateControls(List<String> listed, long now) {
         if (listed.isEmpty()) {
             return;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetState.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetState.java
@@ -13,11 +13,13 @@
 public final class FleetState implements StateMachine {
     private final SliceTable slices = new SliceTable();
     private ConfigurationDocument configuration = ConfigurationDocument.NONE;
-    private Runnable onChange = () -> {};
+    private Runnable onConfiguration = () -> {};
+    private Runnable onSlices = () -> {};
 
-    /** Sets what is called after each change. */
-    public void onChange(Runnable listener) {
-        onChange = listener;
+    /** Sets what is called after each change of the configuration, and of the slices. */
+    public void onChange(Runnable configurationListener, Runnable slicesListener) {
+        onConfiguration = configurationListener;
+        onSlices = slicesListener;
     }
 
     /** Returns the configuration in force. */
@@ -35,10 +37,10 @@
         if (command instanceof PutConfiguration put && put.version() > configuration.version()) {
             configuration = new ConfigurationDocument(put.version(), put.document());
             slices.setPrepaid(put.prepaid());
-            onChange.run();
+            onConfiguration.run();
         } else if (command instanceof SliceChange change) {
             slices.apply(change);
-            onChange.run();
+            onSlices.run();
         }
         return configuration.version();
     }
@@ -66,6 +68,6 @@
                 slices.restore(item);
             }
         }
-        onChange.run();
+        onConfiguration.run();
     }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/PeerTokens.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/PeerTokens.java
@@ -1,6 +1,7 @@
 package dev.jayturn.core.fleet;
 
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.slice.HomeInstance;
 import dev.jayturn.core.slice.SliceAccounts;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.core.transport.Transport;
@@ -11,14 +12,18 @@
 
 /**
  * Moves tokens between entry instances, so that what is left serves whoever has callers while
- * control is out of reach. One round asks the others one after the other until there is enough.
+ * control is out of reach. One round asks the home of the customer's slice first, then the others
+ * one after the other until there is enough.
  */
 final class PeerTokens {
+    /** The home is asked again while the leader may be sending it more. */
+    private static final int HOME_ASKS = 3;
+
     /** Covers the way to another region and back, in milliseconds. */
     private static final long ANSWER_MILLIS = 75;
 
     /** After a round that found too little, nobody is asked again for this time. */
-    private static final long PAUSE_MILLIS = 1_000;
+    private static final long PAUSE_MILLIS = 250;
 
     private final String self;
     private final SliceAccounts slices;
@@ -28,19 +33,26 @@
     private final Runnable onTokens;
     private final Map<String, Round> rounds = new HashMap<>();
     private List<String> peers = List.of();
+    private List<String> near = List.of();
 
     private final class Round {
         final String customer;
         final List<String> left;
+        final String home;
+        int homeAsks;
         long tokens;
         boolean over;
         long overMillis;
         int step;
 
-        Round(String customer, long tokens) {
+        Round(String customer, long tokens, boolean leaderHelps) {
             this.customer = customer;
             this.tokens = tokens;
+            this.home = HomeInstance.of(customer, near);
             this.left = new ArrayList<>(peers);
+            left.remove(home);
+            boolean other = !home.isEmpty() && !home.equals(self);
+            this.homeAsks = !other ? 0 : leaderHelps ? HOME_ASKS : 1;
         }
     }
 
@@ -59,14 +71,25 @@
         this.onTokens = onTokens;
     }
 
-    void setPeers(List<String> addresses) {
+    void setPeers(List<String> addresses, List<String> sameDataCentre) {
         List<String> others = new ArrayList<>(addresses);
         others.remove(self);
         peers = others;
+        near = sameDataCentre;
+    }
+
+    /** Returns whether this instance keeps its data centre's slice of a customer's budget. */
+    boolean isHome(String customer) {
+        return near.isEmpty() || HomeInstance.of(customer, near).equals(self);
     }
 
-    /** Starts or widens a round; returns whether the others may still help. */
-    boolean request(String holder, String customer, long tokens) {
+    /**
+     * Starts or widens a round.
+     *
+     * @param leaderHelps whether the leader may send the home more meanwhile
+     * @return whether the others may still help
+     */
+    boolean request(String holder, String customer, long tokens, boolean leaderHelps) {
         Round round = rounds.get(customer);
         if (round != null && !round.over) {
             round.tokens = Math.max(round.tokens, tokens);
@@ -75,7 +98,7 @@
         if (round != null && timers.nowMillis() - round.overMillis < PAUSE_MILLIS) {
             return false;
         }
-        Round started = new Round(customer, tokens);
+        Round started = new Round(customer, tokens, leaderHelps);
         rounds.put(customer, started);
         next(started, holder, 0);
         return !started.over;
@@ -86,21 +109,25 @@
             return;
         }
         boolean enough = slices.hasFree(round.customer, round.tokens);
-        if (enough || round.left.isEmpty()) {
+        if (enough || (round.left.isEmpty() && round.homeAsks == 0)) {
             round.over = true;
             round.overMillis = enough ? Long.MIN_VALUE / 2 : timers.nowMillis();
             onTokens.run();
             return;
         }
         round.step++;
-        String peer = round.left.remove(random.nextInt(round.left.size()));
-        transport.send(peer, new TokenAsk(self, holder, round.customer, round.tokens));
+        boolean asksHome = round.homeAsks > 0;
+        String peer = asksHome ? round.home : round.left.remove(random.nextInt(round.left.size()));
+        if (asksHome) {
+            round.homeAsks--;
+        }
+        transport.send(peer, new TokenAsk(self, holder, round.customer, round.tokens, !asksHome));
         int following = round.step;
         timers.schedule(ANSWER_MILLIS, () -> next(round, holder, following));
     }
 
     void onAsk(TokenAsk ask, String holder) {
-        long total = slices.give(ask.customer(), ask.tokens(), ask.holder());
+        long total = slices.give(ask.customer(), ask.tokens(), ask.partly(), ask.holder());
         transport.send(ask.from(), new TokenGive(holder, ask.holder(), ask.customer(), total));
     }
 
@@ -110,7 +137,11 @@
         }
         slices.receive(give.fromHolder(), give.customer(), give.givenTotal());
         Round round = rounds.get(give.customer());
-        if (round != null) {
+        boolean asksAgain =
+                round != null
+                        && round.homeAsks > 0
+                        && !slices.hasFree(round.customer, round.tokens);
+        if (round != null && !asksAgain) {
             next(round, holder, round.step);
         }
         onTokens.run();
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceAccounts.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceAccounts.java
@@ -13,9 +13,6 @@
     /** Time over which demand is averaged, in seconds. */
     private static final double DEMAND_SECONDS = 4;
 
-    /** More than what is lacked is given, so that the next request need not ask again. */
-    private static final int GIVE_FACTOR = 3;
-
     /** Weight of a request in the average of their sizes. */
     private static final double TYPICAL_GAIN = 0.2;
 
@@ -42,7 +39,11 @@
 
         long available(boolean leased) {
             long free = issued + transferred - returned - spent - reserved;
-            return leased ? Math.min(free, mark - (spent + reserved - transferred)) : free;
+            return leased ? Math.min(free, mark - drawn()) : free;
+        }
+
+        long drawn() {
+            return spent + reserved - transferred;
         }
     }
 
@@ -119,18 +120,17 @@
     }
 
     /**
-     * Gives tokens to another holder: what it lacks if there is enough, else half of what there is.
+     * Gives tokens to another holder: what it lacks if there is enough, else nothing or a part.
      *
+     * @param partly whether half of too little is given
      * @return all that was given to it so far
      */
-    public long give(String customer, long tokens, String toHolder) {
+    public long give(String customer, long tokens, boolean partly, String toHolder) {
         Account account = account(customer);
         long free = Math.max(0, account.available(leased));
-        long amount = free / 2;
-        if (free >= tokens) {
-            amount = Math.max(tokens, Math.min(GIVE_FACTOR * tokens, free / 2));
-        }
+        long amount = free >= tokens ? tokens : partly ? free / 2 : 0;
         account.transferred -= amount;
+        account.typical += TYPICAL_GAIN * (tokens - account.typical);
         return given.merge(toHolder + ' ' + customer, amount, Long::sum);
     }
 
@@ -156,10 +156,7 @@
     public SliceView view(String customer) {
         Account account = account(customer);
         return new SliceView(
-                account.available(false),
-                account.mark - (account.spent + account.reserved - account.transferred),
-                leased,
-                account.left);
+                account.available(false), account.mark - account.drawn(), leased, account.left);
     }
 
     /** Returns a report of every slice in use and starts the next interval. */
@@ -186,7 +183,7 @@
     }
 
     private static void updateDemand(Account account, long nowMillis) {
-        long used = account.spent + account.reserved;
+        long used = account.drawn();
         double seconds = (nowMillis - account.reportedAtMillis) / 1000.0;
         if (account.reportedAtMillis != 0 && seconds > 0) {
             double rate = Math.max(0, used - account.reportedSpent) / seconds;
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -1,9 +1,11 @@
 package dev.jayturn.core.slice;
 
+import dev.jayturn.core.transport.Addresses;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Splits budgets among the entry instances by demand. The pattern answered: all instances are cut
@@ -32,12 +34,35 @@
 
     private static final double REFILL_BELOW = 0.75;
     private static final double RECALL_ABOVE = 1.3;
+
+    /** No tokens are moved between data centres while the pool holds this part of all. */
+    private static final int POOL_PART = 20;
+
     private static final double SHORT_BELOW = 0.5;
 
     private SlicePlanner() {}
 
     /** A live holder and what it last reported. */
-    public record Holder(String id, Map<String, SliceStatus> statuses) {}
+    public record Holder(String id, String dataCentre, Map<String, SliceStatus> statuses) {}
+
+    /** A data centre's holders; its slice of a customer's budget is issued to one of them. */
+    private static final class Group {
+        final List<Holder> holders = new ArrayList<>();
+        double weight;
+        double demand;
+        double typical;
+        long available;
+        long shortage;
+
+        Holder home(String customer) {
+            Map<String, Holder> byAddress = new HashMap<>();
+            for (Holder holder : holders) {
+                byAddress.put(Addresses.instanceOf(holder.id()), holder);
+            }
+            Holder home = byAddress.get(HomeInstance.of(customer, byAddress.keySet()));
+            return home == null ? holders.get(0) : home;
+        }
+    }
 
     /**
      * The next step.
@@ -78,76 +103,84 @@
         return marks;
     }
 
-    private static void recall(Plan plan, Holder holder, String customer, double tokens) {
-        plan.recalls()
-                .computeIfAbsent(holder.id(), h -> new HashMap<>())
-                .merge(customer, (long) tokens, Math::max);
-    }
-
-    private static double typicalOf(Holder holder, String customer) {
-        SliceStatus status = holder.statuses().get(customer);
-        return status == null ? 0 : status.typical();
-    }
-
-    private static double demandOf(Holder holder, String customer) {
-        SliceStatus status = holder.statuses().get(customer);
-        return status == null ? 0 : status.demand();
+    private static List<Group> groups(SliceTable table, String customer, List<Holder> holders) {
+        Map<String, Group> groups = new TreeMap<>();
+        for (Holder holder : holders) {
+            Group group = groups.computeIfAbsent(holder.dataCentre(), d -> new Group());
+            group.holders.add(holder);
+            SliceStatus status = holder.statuses().get(customer);
+            long available = table.totals(holder.id(), customer).issued();
+            if (status != null) {
+                available += status.available() - status.issuedKnown();
+                group.demand += status.demand();
+                group.typical = Math.max(group.typical, status.typical());
+                group.shortage = Math.max(group.shortage, status.shortage());
+            }
+            group.available += available;
+        }
+        return new ArrayList<>(groups.values());
     }
 
     private static void planCustomer(
             SliceTable table, String customer, List<Holder> holders, Plan plan) {
-        int count = holders.size();
-        double[] weights = new double[count];
-        long[] available = new long[count];
-        long[] shortage = new long[count];
+        List<Group> groups = groups(table, customer, holders);
+        long pool = table.unissued(customer);
+        long total = pool;
         double demand = 0;
-        long total = table.unissued(customer);
-        for (int i = 0; i < count; i++) {
-            SliceStatus status = holders.get(i).statuses().get(customer);
-            long issued = table.totals(holders.get(i).id(), customer).issued();
-            available[i] = issued;
-            if (status != null) {
-                available[i] += status.available() - status.issuedKnown();
-                weights[i] = demandOf(holders.get(i), customer);
-                shortage[i] = status.shortage();
-                demand += status.demand();
-            }
-            total += Math.max(0, available[i]);
+        for (Group group : groups) {
+            total += Math.max(0, group.available);
+            demand += group.demand;
         }
-        double idle = demand > 0 ? IDLE_WEIGHT * demand / count : 1;
+        double idle = demand > 0 ? IDLE_WEIGHT * demand / groups.size() : 1;
         double sum = 0;
-        for (int i = 0; i < count; i++) {
-            weights[i] = Math.max(weights[i], idle);
-            sum += weights[i];
+        for (Group group : groups) {
+            group.weight = Math.max(group.demand, idle);
+            sum += group.weight;
         }
+        double base = BASE_SHARE * table.prepaid().getOrDefault(customer, 0L) / groups.size();
         boolean anyShort = false;
-        long pool = table.unissued(customer);
-        double base = BASE_SHARE * table.prepaid().getOrDefault(customer, 0L) / count;
-        for (int i = 0; i < count; i++) {
-            double ideal = total * weights[i] / sum;
-            double lasting = Math.max(base, HORIZON_SECONDS * demandOf(holders.get(i), customer));
-            long want = Math.max((long) Math.min(ideal, lasting), shortage[i]);
-            boolean low = available[i] < REFILL_BELOW * want || shortage[i] > available[i];
+        for (Group group : groups) {
+            double ideal = total * group.weight / sum;
+            double lasting = Math.max(base, HORIZON_SECONDS * group.demand);
+            long want = Math.max((long) Math.min(ideal, lasting), group.shortage);
+            boolean low = group.available < REFILL_BELOW * want || group.shortage > group.available;
+            Holder home = group.home(customer);
             if (low && pool > 0) {
-                long tokens = Math.min(pool, want - available[i]);
+                long tokens = Math.min(pool, want - group.available);
                 pool -= tokens;
-                available[i] += tokens;
-                plan.issues().add(new SliceIssue(holders.get(i).id(), customer, tokens));
+                group.available += tokens;
+                plan.issues().add(new SliceIssue(home.id(), customer, tokens));
             }
-            double most = KEEP_FACTOR * Math.max(want, typicalOf(holders.get(i), customer));
-            if (available[i] > most && shortage[i] == 0) {
-                recall(plan, holders.get(i), customer, available[i] - most);
+            double most = KEEP_FACTOR * Math.max(want, group.typical);
+            if (group.available > most && group.shortage == 0) {
+                recall(plan, group, customer, group.available - most);
             }
-            anyShort |= available[i] < SHORT_BELOW * ideal || shortage[i] > available[i];
+            anyShort |= group.available < SHORT_BELOW * ideal || group.shortage > group.available;
         }
-        if (!anyShort || pool > total / 20) {
+        if (!anyShort || pool > total / POOL_PART) {
             return;
         }
-        for (int i = 0; i < count; i++) {
-            double ideal = total * weights[i] / sum;
-            if (available[i] > RECALL_ABOVE * ideal && shortage[i] == 0) {
-                recall(plan, holders.get(i), customer, available[i] - ideal);
+        for (Group group : groups) {
+            double ideal = total * group.weight / sum;
+            if (group.available > RECALL_ABOVE * ideal && group.shortage == 0) {
+                recall(plan, group, customer, group.available - ideal);
             }
         }
     }
+
+    /** Recalls tokens from the holder of a data centre that has most of them. */
+    private static void recall(Plan plan, Group group, String customer, double tokens) {
+        Holder richest = group.home(customer);
+        long most = Long.MIN_VALUE;
+        for (Holder holder : group.holders) {
+            SliceStatus status = holder.statuses().get(customer);
+            if (status != null && status.available() > most) {
+                most = status.available();
+                richest = holder;
+            }
+        }
+        plan.recalls()
+                .computeIfAbsent(richest.id(), h -> new HashMap<>())
+                .merge(customer, (long) tokens, Math::max);
+    }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -93,6 +93,7 @@
         FleetEntry entry =
                 new FleetEntry(
                         self,
+                        settings.text(SettingKey.DATA_CENTRE),
                         FleetSettings.seeds(settings),
                         transport,
                         timers,
@@ -100,7 +101,7 @@
                         System::currentTimeMillis,
                         MachineRun.id(),
                         this);
-        PeerLoads loads = new PeerLoads(self, book, transport, timers, random);
+        PeerLoads loads = new PeerLoads(self, book, transport, timers);
         fleet = entry;
         peerLoads = loads;
         forwarder.join(entry, loads);
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
@@ -1,5 +1,7 @@
 package dev.jayturn.wire;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonFormat.Shape;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -32,6 +34,9 @@
         mapper.addMixIn(Message.class, Typed.class);
         mapper.addMixIn(JournalRecord.class, Typed.class);
         mapper.addMixIn(Command.class, Typed.class);
+        for (Class<?> type : WireTypes.WITHOUT_NAMES) {
+            mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(Shape.ARRAY));
+        }
         for (Class<?> type : WireTypes.ALL) {
             mapper.registerSubtypes(new NamedType(type, type.getSimpleName()));
         }
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -62,6 +62,7 @@
 import dev.jayturn.core.control.RulesVersion;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.dispatch.LoadShare;
+import dev.jayturn.core.dispatch.UpstreamWork;
 import dev.jayturn.core.fleet.ConfigurationAnswer;
 import dev.jayturn.core.fleet.ConfigurationCall;
 import dev.jayturn.core.fleet.ConfigurationStored;
@@ -80,9 +81,17 @@
 import dev.jayturn.core.rules.RulesUpdate;
 import dev.jayturn.core.slice.ConsumedStored;
 import dev.jayturn.core.slice.LeaseStored;
+import dev.jayturn.core.slice.LifeClock;
 import dev.jayturn.core.slice.RetiredStored;
 import dev.jayturn.core.slice.SliceChange;
+import dev.jayturn.core.slice.SliceGrant;
+import dev.jayturn.core.slice.SliceIssue;
+import dev.jayturn.core.slice.SliceLease;
+import dev.jayturn.core.slice.SliceMark;
+import dev.jayturn.core.slice.SliceReturn;
+import dev.jayturn.core.slice.SliceStatus;
 import dev.jayturn.core.slice.SliceStored;
+import dev.jayturn.core.slice.SliceTotals;
 import java.util.List;
 
 /** The types that may be sent or kept; their simple names are part of the format. */
@@ -173,5 +182,18 @@
                     LoadShare.class,
                     Subscribe.class);
 
+    /** Parts of other types that come in numbers: their fields are sent by position. */
+    static final List<Class<?>> WITHOUT_NAMES =
+            List.of(
+                    SliceStatus.class,
+                    SliceGrant.class,
+                    SliceLease.class,
+                    SliceMark.class,
+                    LifeClock.class,
+                    SliceIssue.class,
+                    SliceReturn.class,
+                    SliceTotals.class,
+                    UpstreamWork.class);
+
     private WireTypes() {}
 }
