--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
@@ -23,6 +23,7 @@
         Heartbeat heartbeat;
         long revision;
         long heardMillis;
+        long ownMillis = Long.MIN_VALUE;
 
         Row(Heartbeat heartbeat) {
             this.heartbeat = heartbeat;
@@ -34,7 +35,17 @@
         return revision;
     }
 
-    /** Takes a heartbeat; returns whether it changed what is known beside the time. */
+    /** Takes a heartbeat from the upstream itself; returns whether it changed what is known. */
+    public boolean acceptOwn(Heartbeat heartbeat, long nowMillis) {
+        boolean changed = accept(heartbeat, nowMillis);
+        Row row = rows.get(heartbeat.id());
+        if (row != null && row.heartbeat.equals(heartbeat)) {
+            row.ownMillis = nowMillis;
+        }
+        return changed;
+    }
+
+    /** Takes a heartbeat from anybody; returns whether it changed what is known beside the time. */
     public boolean accept(Heartbeat heartbeat, long nowMillis) {
         Row row = rows.get(heartbeat.id());
         if (row == null) {
@@ -96,11 +107,11 @@
         return changed;
     }
 
-    /** Returns the ids heard of after a time. */
-    public List<Heartbeat> heardSince(long sinceMillis) {
+    /** Returns what upstreams themselves said here after a time. */
+    public List<Heartbeat> ownSince(long sinceMillis) {
         List<Heartbeat> heard = new ArrayList<>();
         for (Row row : rows.values()) {
-            if (row.heardMillis >= sinceMillis) {
+            if (row.ownMillis >= sinceMillis) {
                 heard.add(row.heartbeat);
             }
         }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -120,7 +120,7 @@
 
     /** Takes a heartbeat from an upstream; once this returns, all entries are being told. */
     public void onHeartbeat(Heartbeat heartbeat) {
-        if (upstreams.accept(heartbeat, timers.nowMillis())) {
+        if (upstreams.acceptOwn(heartbeat, timers.nowMillis())) {
             share(List.of(heartbeat));
             pushAll();
         }
@@ -193,7 +193,7 @@
         }
         if (now - lastShareMillis >= SHARE_MILLIS) {
             lastShareMillis = now;
-            share(upstreams.heardSince(now - SHARE_MILLIS));
+            share(upstreams.ownSince(now - SHARE_MILLIS));
             upstreams.forgetOld(now);
         }
     }
