--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/PeerTokens.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/PeerTokens.java
@@ -17,7 +17,7 @@
  */
 final class PeerTokens {
     /** The home is asked again while the leader may be sending it more. */
-    private static final int HOME_ASKS = 5;
+    private static final int HOME_ASKS = 3;
 
     /** Covers the way to another region and back, in milliseconds. */
     private static final long ANSWER_MILLIS = 75;
--- /dev/null
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/eventlog/EventLogTest.java
@@ -0,0 +1,83 @@
+package dev.jayturn.daemon.eventlog;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Splitter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+final class EventLogTest {
+    private static final int BOUND = 50;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private long nowMillis = 1_000;
+
+    private List<JsonNode> lines() throws IOException, InterruptedException {
+        // The writer gathers lines for a tenth of a second.
+        Thread.sleep(300);
+        List<JsonNode> lines = new ArrayList<>();
+        String text = out.toString(StandardCharsets.UTF_8);
+        for (String line : Splitter.on('\n').omitEmptyStrings().split(text)) {
+            lines.add(new ObjectMapper().readTree(line));
+        }
+        return lines;
+    }
+
+    @Test
+    void theDecisionsOnARequestAreFoundByItsId() throws IOException, InterruptedException {
+        EventLog log = new EventLog(out, () -> nowMillis, BOUND);
+        log.event("placement.chosen", json -> json.writeStringField("request", "r1"));
+        log.event("placement.chosen", json -> json.writeStringField("request", "r2"));
+        log.event("request.ended", json -> json.writeStringField("request", "r1"));
+        assertThat(lines())
+                .filteredOn(line -> line.path("request").asText().equals("r1"))
+                .extracting(line -> line.path("event").asText())
+                .containsExactly("placement.chosen", "request.ended");
+    }
+
+    @Test
+    void atTenTimesTheLoadTheBoundHoldsAndTheRestIsCounted()
+            throws IOException, InterruptedException {
+        EventLog log = new EventLog(out, () -> nowMillis, BOUND);
+        for (int i = 0; i < 10 * BOUND; i++) {
+            log.event("request.ended", json -> {});
+        }
+        nowMillis += 1_000;
+        log.event("request.ended", json -> {});
+        List<JsonNode> lines = lines();
+        assertThat(lines).hasSize(BOUND + 1);
+        assertThat(log.leftOut()).isEqualTo(9 * BOUND);
+        assertThat(lines.get(BOUND).path("leftOut").asInt()).isEqualTo(9 * BOUND);
+    }
+
+    @Test
+    @Timeout(10)
+    void aBlockedOutputBlocksNoDecision() {
+        CountDownLatch never = new CountDownLatch(1);
+        OutputStream blocked =
+                new OutputStream() {
+                    @Override
+                    public void write(int b) throws IOException {
+                        try {
+                            never.await();
+                        } catch (InterruptedException e) {
+                            throw new IOException(e);
+                        }
+                    }
+                };
+        EventLog log = new EventLog(blocked, () -> nowMillis, Integer.MAX_VALUE);
+        for (int i = 0; i < 20_000; i++) {
+            log.event("request.ended", json -> {});
+        }
+        assertThat(log.leftOut()).isGreaterThan(10_000);
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/EventScannerTest.java
@@ -0,0 +1,51 @@
+package dev.jayturn.daemon.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+final class EventScannerTest {
+    private final EventScanner scanner =
+            new EventScanner(UnpooledByteBufAllocator.DEFAULT, "before");
+
+    private String scan(String text) {
+        ByteBuf whole = scanner.scan(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        return whole.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void onlyWholeEventsArePassedOn() {
+        assertThat(scan("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(scanner.lastId()).isEqualTo("1");
+        assertThat(scan("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+        assertThat(scanner.lastId()).isEqualTo("2");
+        assertThat(scanner.events()).isEqualTo(2);
+        assertThat(scanner.holdsPart()).isFalse();
+    }
+
+    @Test
+    void anEventThatIsCutOffIsDroppedWithItsId() {
+        scan("id: 1\ndata: a\n\nid: 2\ndata: b\n");
+        assertThat(scanner.holdsPart()).isTrue();
+        scanner.dropPart();
+        assertThat(scan("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+        assertThat(scanner.events()).isEqualTo(2);
+    }
+
+    @Test
+    void aStreamWithoutEventsGoesOnFromWhereTheCallerWas() {
+        scan("id: 1\nda");
+        scanner.dropPart();
+        assertThat(scanner.lastId()).isEqualTo("before");
+    }
+
+    @Test
+    void linesThatEndWithCarriageReturnsAreUnderstood() {
+        assertThat(scan("id: 7\r\ndata: x\r\n\r\n")).isEqualTo("id: 7\r\ndata: x\r\n\r\n");
+        assertThat(scanner.lastId()).isEqualTo("7");
+    }
+}
