--- a/jayturn-core/src/main/java/dev/jayturn/core/chart/Chart.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/chart/Chart.java
@@ -4,7 +4,6 @@
 import com.google.common.io.Resources;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -33,9 +32,13 @@
 
     /** Loads and checks a chart from the class path. */
     public static Chart load(String name) {
-        URL url = Resources.getResource("charts/" + name + ".chart");
         try {
-            return parse(name, Resources.toString(url, StandardCharsets.UTF_8));
+            return parse(
+                    name,
+                    Resources.asCharSource(
+                                    Resources.getResource("charts/" + name + ".chart"),
+                                    StandardCharsets.UTF_8)
+                            .read());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/jayturn-core/src/test/java/dev/jayturn/core/PurityTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/PurityTest.java
@@ -24,6 +24,7 @@
                         "io.grpc..",
                         "java.nio.file..",
                         "java.nio.channels..",
+                        "java.net.http..",
                         "java.util.concurrent..",
                         "java.time..",
                         "com.fasterxml..")
--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/ExpectedTimePlacementTest.java
@@ -0,0 +1,108 @@
+package dev.jayturn.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.directory.UpstreamState;
+import dev.jayturn.core.virtual.SeededRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class ExpectedTimePlacementTest {
+    private static final Place PLACE = new Place("a", Map.of("a", "near", "b", "far"));
+
+    private final List<UpstreamLoad> upstreams = new ArrayList<>();
+    private final ExpectedTimePlacement placement =
+            new ExpectedTimePlacement(PLACE, new SeededRandom(new Random(1)));
+
+    @BeforeEach
+    void fourUpstreams() {
+        for (int i = 0; i < 4; i++) {
+            upstreams.add(upstream("u" + i, "a"));
+        }
+    }
+
+    private static UpstreamLoad upstream(String id, String dataCentre) {
+        Heartbeat heartbeat =
+                new Heartbeat(id, "s", id + ":1", dataCentre, 64, UpstreamState.READY, 1, 1);
+        return new UpstreamLoad(heartbeat, 1_000_000);
+    }
+
+    private static Work work(String prefix, int number) {
+        return new Work(
+                12_000,
+                300,
+                List.of(new PromptPart(prefix, 6_000), new PromptPart("own-" + number, 6_000)));
+    }
+
+    private UpstreamLoad choose(Work work) {
+        PlacementPolicy.Choice choice = placement.choose(work, upstreams, 0);
+        assertThat(choice).isNotNull();
+        return choice.upstream();
+    }
+
+    @Test
+    void requestsWithOnePrefixStayTogether() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 20; i++) {
+            UpstreamLoad chosen = choose(work("p", i));
+            long unread = chosen.started(work("p", i));
+            chosen.answered(unread, 150, true);
+            chosen.ended();
+            counts.merge(chosen.heartbeat().id(), 1, Integer::sum);
+        }
+        assertThat(counts).hasSize(1);
+    }
+
+    @Test
+    void aHotPrefixSpillsOver() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 40; i++) {
+            UpstreamLoad chosen = choose(work("p", i));
+            chosen.started(work("p", i));
+            counts.merge(chosen.heartbeat().id(), 1, Integer::sum);
+        }
+        assertThat(counts).hasSize(4);
+        assertThat(counts.values()).allMatch(count -> count <= 20);
+    }
+
+    @Test
+    void workOfOthersCounts() {
+        UpstreamLoad first = choose(work("p", 0));
+        first.setOthers(10, 200_000);
+        assertThat(choose(work("p", 1))).isNotSameAs(first);
+    }
+
+    @Test
+    void aFailingUpstreamIsAvoided() {
+        UpstreamLoad first = choose(work("p", 0));
+        for (int i = 0; i < 10; i++) {
+            first.failed();
+        }
+        assertThat(choose(work("p", 1))).isNotSameAs(first);
+    }
+
+    @Test
+    void anUnreachableUpstreamIsLeftAloneForAWhile() {
+        UpstreamLoad first = choose(work("p", 0));
+        first.unreachable(0);
+        assertThat(first.isSuspended(100)).isTrue();
+        assertThat(choose(work("p", 1))).isNotSameAs(first);
+        assertThat(first.isSuspended(600)).isFalse();
+    }
+
+    @Test
+    void plainRequestsStayInTheRegionWhileThereIsRoom() {
+        upstreams.add(upstream("far", "b"));
+        for (int i = 0; i < 8; i++) {
+            UpstreamLoad chosen = choose(Work.PLAIN);
+            assertThat(chosen.heartbeat().dataCentre()).isEqualTo("a");
+            chosen.started(Work.PLAIN);
+        }
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/retry/SharedRetryBudgetTest.java
@@ -0,0 +1,46 @@
+package dev.jayturn.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.core.virtual.VirtualNetwork;
+import dev.jayturn.core.virtual.VirtualProcess;
+import dev.jayturn.core.virtual.VirtualTime;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class SharedRetryBudgetTest {
+    private static final long WINDOW_MILLIS = 10_000;
+
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualProcess process =
+            new VirtualProcess("entry", time, new VirtualNetwork(time, new Random(1)));
+    private final SharedRetryBudget budget = new SharedRetryBudget(process, WINDOW_MILLIS, 0.2, 50);
+
+    private int taken(int instances) {
+        int taken = 0;
+        while (budget.tryTake(instances)) {
+            taken++;
+        }
+        return taken;
+    }
+
+    @Test
+    void allInstancesTogetherStayWithinTheSlack() {
+        assertThat(5 * taken(5)).isBetween(1, 50);
+    }
+
+    @Test
+    void requestsEarnRetriesByTheRatio() {
+        for (int i = 0; i < 1_000; i++) {
+            budget.noteRequest();
+        }
+        assertThat(taken(1_000_000)).isBetween(100, 200);
+    }
+
+    @Test
+    void whatIsOlderThanTheWindowNoLongerCounts() {
+        int first = taken(1);
+        time.runFor(WINDOW_MILLIS + 1);
+        assertThat(taken(1)).isEqualTo(first);
+    }
+}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/JayturndMain.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/JayturndMain.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -36,6 +37,8 @@
         Namespace options;
         try {
             options = parser.parseArgs(args);
+        } catch (HelpScreenException e) {
+            return;
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(EXIT_USAGE);
