--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/CallServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/CallServer.java
@@ -1,16 +1,11 @@
 package dev.jayturn.daemon.fleet;
 
 import dev.jayturn.daemon.link.Listeners;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -38,24 +33,15 @@
     }
 
     void listen(InetSocketAddress address) {
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(loop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel channel) {
-                                        channel.pipeline()
-                                                .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
-                                                .addLast(new HttpServerCodec())
-                                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                                                .addLast(new Handler());
-                                    }
-                                });
-        Listeners.bind(bootstrap, address);
+        Listeners.listen(
+                loop,
+                address,
+                channel ->
+                        channel.pipeline()
+                                .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new Handler()));
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
@@ -7,7 +7,6 @@
 import dev.jayturn.core.transport.Transport;
 import dev.jayturn.wire.MessageCodec;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,7 +14,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -63,21 +61,13 @@
 
     /** Starts to listen. */
     public void listen(InetSocketAddress address) {
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(loop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel channel) {
-                                        initFrames(channel);
-                                        channel.pipeline().addLast(new Inbound());
-                                    }
-                                });
-        Listeners.bind(bootstrap, address);
+        Listeners.listen(
+                loop,
+                address,
+                channel -> {
+                    initFrames(channel);
+                    channel.pipeline().addLast(new Inbound());
+                });
     }
 
     /** Returns the bytes of messages sent. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/Listeners.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/Listeners.java
@@ -3,18 +3,41 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 
 /** Opens listening sockets from an event loop, which must not wait for them. */
 public final class Listeners {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int BACKLOG = 1_024;
     private static final int EXIT_FAILED = 1;
 
     private Listeners() {}
 
-    /** Starts to listen; a process that cannot is of no use and ends. */
-    public static Channel bind(ServerBootstrap bootstrap, InetSocketAddress address) {
-        return bootstrap
+    /**
+     * Starts to listen; a process that cannot is of no use and ends.
+     *
+     * @param initializer adds the handlers of each accepted connection
+     */
+    public static Channel listen(
+            EventLoop loop, InetSocketAddress address, Consumer<Channel> initializer) {
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                initializer.accept(channel);
+                            }
+                        })
                 .bind(address)
                 .addListener(
                         done -> {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -1,13 +1,9 @@
 package dev.jayturn.daemon.proxy;
 
 import dev.jayturn.daemon.link.Listeners;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -17,7 +13,6 @@
 
 /** Listens for callers. */
 public final class ProxyServer {
-    private static final int BACKLOG = 1_024;
     private static final int MAX_LINE_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
@@ -40,28 +35,14 @@
 
     /** Starts to listen. */
     public void listen(InetSocketAddress address) {
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(loop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(
-                                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
-                        .childHandler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel channel) {
-                                        init(channel);
-                                    }
-                                });
-        listener = Listeners.bind(bootstrap, address);
+        listener = Listeners.listen(loop, address, this::init);
     }
 
     private void init(Channel channel) {
         int maxHeaderBytes = forwarder.limits().maxHeaderBytes();
+        channel.config()
+                .setWriteBufferWaterMark(
+                        new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
         channel.pipeline()
                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
                 .addLast(new CallerConnection(forwarder, this));
