Take out what nothing uses; name and explain the constants of placement and slices

Read as a newcomer: an unused count, flag and field are gone, three numbers in ExpectedTimePlacement have names, each threshold of SlicePlanner says what it does and its class says what it answers now.

--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
@@ -127,9 +127,4 @@
             }
         }
     }
-
-    /** Returns how many upstreams are known. */
-    public int size() {
-        return rows.size();
-    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
@@ -23,6 +23,15 @@
     /** Share of a shared prefix that the first choice is believed to hold unseen. */
     private static final double BELIEVED_HELD = 0.8;
 
+    /** Delay of the first event in a full batch, in milliseconds. */
+    private static final double BATCH_MILLIS = 40;
+
+    /** Delay for each further batch that waits, in milliseconds. */
+    private static final double QUEUE_MILLIS = 400;
+
+    /** Occupancy up to which a plain service starts at once. */
+    private static final double FREE_OCCUPANCY = 0.5;
+
     /** Factor on the expected time for an upstream all of whose requests fail. */
     private static final double FAILURE_FACTOR = 12;
 
@@ -52,7 +61,7 @@
             double cost = millis * jitter * (1 + FAILURE_FACTOR * upstream.failureShare());
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new Choice(upstream, millis, occupancy(upstream) < 1);
+                best = new Choice(upstream, millis);
             }
         }
         return best;
@@ -66,7 +75,7 @@
         double way = place.isNear(upstream.heartbeat().dataCentre()) ? 0 : FAR_MILLIS;
         double occupancy = occupancy(upstream);
         if (work.promptTokens() == 0) {
-            double turns = Math.max(0, occupancy - 0.5);
+            double turns = Math.max(0, occupancy - FREE_OCCUPANCY);
             return way + upstream.workMillis() * (1 + turns);
         }
         double held = upstream.heldTokens(work);
@@ -76,7 +85,7 @@
         double unread = Math.max(0, work.promptTokens() - held);
         double again = Math.max(0, work.sharedTokens() - held);
         double queued = upstream.allWaitingTokens();
-        double crowding = 40 * occupancy + 400 * Math.max(0, occupancy - 1);
+        double crowding = BATCH_MILLIS * occupancy + QUEUE_MILLIS * Math.max(0, occupancy - 1);
         return way + (unread + REREAD_WEIGHT * again + queued) / upstream.promptRate() + crowding;
     }
 
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PlacementPolicy.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/PlacementPolicy.java
@@ -12,7 +12,6 @@
      * An upstream and why it was chosen.
      *
      * @param expectedMillis expected time to the first event or answer
-     * @param room whether the upstream is expected to start on the request without waiting long
      */
-    record Choice(UpstreamLoad upstream, double expectedMillis, boolean room) {}
+    record Choice(UpstreamLoad upstream, double expectedMillis) {}
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamBook.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamBook.java
@@ -95,9 +95,4 @@
     public Collection<UpstreamLoad> all() {
         return byId.values();
     }
-
-    /** Returns the number of upstreams that take new work. */
-    public int size() {
-        return byId.size();
-    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -34,11 +34,13 @@
     /** An entry instance that has not reported for so long is not counted as live. */
     private static final long LIVE_MILLIS = 3_000;
 
+    /** Time between two looks at the slices, in milliseconds. */
     private static final long PLAN_MILLIS = 100;
 
     /** A lease is renewed once the holder's report is so much newer. */
     private static final long LEASE_RENEW_MILLIS = 450;
 
+    /** Time between two shares of heartbeats that changed nothing, in milliseconds. */
     private static final long SHARE_MILLIS = 1_000;
 
     /** Time after which the configuration is sent again to an entry that still lacks it. */
@@ -65,7 +67,6 @@
         long version;
         long documentSentMillis = Long.MIN_VALUE / 2;
         long documentSentVersion;
-        long tableEpoch;
         long tableRevision;
         LifeClock started = new LifeClock("", 0, 0);
         LifeClock now = new LifeClock("", 0, 0);
@@ -135,11 +136,6 @@
         }
     }
 
-    /** Returns how many upstreams are known. */
-    public int upstreamCount() {
-        return upstreams.size();
-    }
-
     /** Puts a configuration in force through the leader. */
     public void put(PutConfiguration put, ConfigurationReply reply) {
         desk.call(put, reply);
@@ -166,7 +162,6 @@
         entry.dataCentre = report.dataCentre();
         entry.heardMillis = timers.nowMillis();
         entry.version = report.configurationVersion();
-        entry.tableEpoch = report.tableEpoch();
         entry.tableRevision = report.tableEpoch() == epoch ? report.tableRevision() : 0;
         entry.leaving = report.leaving();
         entry.now = report.now();
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -8,11 +8,11 @@
 import java.util.TreeMap;
 
 /**
- * Splits budgets among the entry instances by demand. The pattern answered: all instances are cut
- * off at once for ten seconds while one customer sends several times its usual. So each instance
- * holds what would last it for long at its present rate, and only when the pool runs out is it
- * taken from those that would run dry last. What stands in slices is lost when the instances die,
- * so a slice is not larger than a cut needs; cut off, instances help each other out.
+ * Splits budgets among the data centres by demand. The pattern answered: all instances are cut off
+ * from control at once for some ten seconds, and all of them may die at any moment. So a data
+ * centre holds what lasts it for a cut at its present rate; the rest stays in the pool, and when
+ * that runs out tokens are taken from where they would last longest. Marks follow what is drawn
+ * closely, since the tokens between the two are lost when a holder dies.
  */
 public final class SlicePlanner {
     /** Time that a slice lasts at the present demand, in seconds. */
@@ -27,17 +27,22 @@
     /** Time for which a mark lasts at the present demand: a lease and its renewal, in seconds. */
     private static final double MARK_SECONDS = 3.6;
 
+    /** A mark is raised once what it still allows falls below this share of its lead. */
     private static final double MARK_BELOW = 0.9;
 
     /** A holder gives back what goes beyond this multiple of what it is due. */
     private static final double KEEP_FACTOR = 1.6;
 
+    /** A slice is filled up once it holds less than this share of what it is due. */
     private static final double REFILL_BELOW = 0.75;
+
+    /** A data centre with more than this multiple of its share gives to those that run short. */
     private static final double RECALL_ABOVE = 1.3;
 
     /** No tokens are moved between data centres while the pool holds this part of all. */
     private static final int POOL_PART = 20;
 
+    /** A data centre with less than this part of its share runs short. */
     private static final double SHORT_BELOW = 0.5;
 
     private SlicePlanner() {}
