--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/CallServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/CallServer.java
@@ -1,5 +1,6 @@
 package dev.jayturn.daemon.fleet;
 
+import com.google.common.flogger.FluentLogger;
 import dev.jayturn.daemon.link.Listeners;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -21,6 +22,7 @@
 
 /** A small HTTP server for calls whose bodies are taken whole. */
 final class CallServer {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAX_BODY_BYTES = 8 << 20;
     private static final int IDLE_SECONDS = 30;
 
@@ -79,6 +81,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOGGER.atFine().withCause(cause).log("control: A connection failed.");
             ctx.close();
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -1,5 +1,6 @@
 package dev.jayturn.daemon.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import dev.jayturn.core.configuration.RequestLimits;
 import dev.jayturn.core.result.ResultCode;
 import io.netty.buffer.ByteBuf;
@@ -30,6 +31,8 @@
 
 /** One caller's connection; its requests are answered one after the other. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** Messages of requests sent ahead of their turn that are held before reading stops. */
     private static final int MAX_AHEAD = 64;
 
@@ -280,6 +283,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOGGER.atFine().withCause(cause).log("proxy: A caller's connection failed.");
         ctx.close();
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package dev.jayturn.daemon.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -16,6 +17,8 @@
 
 /** One connection to an upstream; it carries one request at a time. */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** Idle time after which a connection is not used again if its upstream names none. */
     private static final long DEFAULT_IDLE_MILLIS = 3_000;
 
@@ -161,6 +164,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOGGER.atFine().withCause(cause).log("proxy: A connection to an upstream failed.");
         // A reset: an answer without a length is not whole then.
         failed = true;
         ctx.close();
