Look a holder's totals up once; say plainly when a lease is told

Read over the whole change: grants() looked the same totals up twice for each customer and update, and the condition on the lease held a test that the other made true (only the leader has grants).

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetControl.java
@@ -383,7 +383,7 @@
                 epoch,
                 upstreams.revision(),
                 upstreams.changedSince(entry.tableRevision),
-                lease == null || grants.isEmpty() && !raft.isLeader() ? 0 : lease.endMillis(),
+                lease == null || !raft.isLeader() ? 0 : lease.endMillis(),
                 grants);
     }
 
@@ -395,17 +395,16 @@
         SliceTable table = state.slices();
         for (String customer : table.prepaid().keySet()) {
             SliceStatus status = entry.slices.get(customer);
-            long issued = table.totals(entry.holder, customer).issued();
-            long mark = table.totals(entry.holder, customer).mark();
+            SliceTotals totals = table.totals(entry.holder, customer);
             long recall = entry.recalls.getOrDefault(customer, 0L);
             long left = left(customer);
             boolean news =
                     status == null
-                            || status.issuedKnown() != issued
-                            || status.markKnown() != mark
+                            || status.issuedKnown() != totals.issued()
+                            || status.markKnown() != totals.mark()
                             || recall > 0;
             if (news || left < table.prepaid().getOrDefault(customer, 0L) / 10) {
-                grants.add(new SliceGrant(customer, issued, mark, left, recall));
+                grants.add(new SliceGrant(customer, totals.issued(), totals.mark(), left, recall));
             }
         }
         entry.recalls = Map.of();
