Treat a response that the decoder cannot parse as failed, not complete

Cause: in the daemon's own request path a chunked body that breaks off in bytes that are no chunk ends with a last content that carries a decoder failure, which was taken for the end of a complete body; its caller got a success. Found by looking for an answer that breaks off halfway and reaches the caller as complete. Change: any part with a decoder failure fails the exchange.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamExchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamExchange.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -150,6 +151,12 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
+            if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+                // The decoder marks the end of a body that it cannot parse like a complete one.
+                ReferenceCountUtil.release(message);
+                fail("the response is malformed");
+                return;
+            }
             if (message instanceof HttpResponse head && !readHead(head)) {
                 ReferenceCountUtil.release(message);
                 return;
