Obey what upstreams say in responses, and bound bytes that never end

Cause, notices: responses say that an upstream leaves, and 503 with Retry-After asks for a pause; neither was read, so both got more requests. Change: the codec decodes them; the registry keeps a leaving mark for each incarnation, so that a delayed heartbeat does not bring it back, and the dispatcher never places a request at a paused upstream; if all are paused it refuses with the end of the first pause, spread over 0.4 s. A request whose connection opens after that goes elsewhere.

Cause, endless bytes: informational responses and responses to other requests were skipped without a bound, an event that never ends was buffered without a bound and scanned from its start at each read, and a refusal waited for the whole body of the upstream's refusal. Change: 8 skipped responses and 64 KiB; 256 KiB for one event, scanned once; a response that is not forwarded is discarded in the background for up to 1 s, and its request goes on at once.

Status lines, headers, chunk extensions and trailers without end were bounded before.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.dispatch;
 
+import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.result.ResultCode;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,12 +15,17 @@
 
     private static final long MIN_RETRY_MILLIS = 200;
 
+    /** Callers refused during a pause return over this time after it, not all at its end. */
+    private static final int PAUSE_RETRY_SPREAD_MILLIS = 400;
+
     private final UpstreamRegistry upstreams;
     private final PlacementPolicy placement;
+    private final RandomSource random;
 
-    public Dispatcher(UpstreamRegistry upstreams, PlacementPolicy placement) {
+    public Dispatcher(UpstreamRegistry upstreams, PlacementPolicy placement, RandomSource random) {
         this.upstreams = upstreams;
         this.placement = placement;
+        this.random = random;
     }
 
     /**
@@ -57,18 +63,32 @@
     }
 
     /**
-     * Decides on a request.
+     * Decides on a request. An upstream that asked for a pause is never a candidate; if all
+     * candidates are paused, the request is refused until the first pause ends.
      *
      * @param connectable whether this instance can get a connection to an upstream
      */
     public Decision decide(Query query, Predicate<UpstreamLoad> connectable) {
         List<UpstreamLoad> candidates = new ArrayList<>();
+        long shortestPauseMillis = Long.MAX_VALUE;
         for (UpstreamLoad upstream : upstreams.ofService(query.service())) {
-            if (!query.triedIds().contains(upstream.heartbeat().id())
-                    && connectable.test(upstream)) {
+            if (query.triedIds().contains(upstream.heartbeat().id())
+                    || !connectable.test(upstream)) {
+                continue;
+            }
+            long pauseMillis = upstream.remainingPauseMillis(query.nowMillis());
+            if (pauseMillis > 0) {
+                shortestPauseMillis = Math.min(shortestPauseMillis, pauseMillis);
+            } else {
                 candidates.add(upstream);
             }
         }
+        if (candidates.isEmpty() && shortestPauseMillis < Long.MAX_VALUE) {
+            return Decision.refuse(
+                    ResultCode.UPSTREAMS_PAUSED,
+                    shortestPauseMillis + random.nextInt(PAUSE_RETRY_SPREAD_MILLIS),
+                    0);
+        }
         PlacementPolicy.Choice choice =
                 placement.choose(query.profile(), candidates, query.nowMillis());
         if (choice == null) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
@@ -35,6 +35,7 @@
     private double failureRate;
     private long suspendedUntilMillis;
     private long suspensionMillis = INITIAL_SUSPENSION_MILLIS;
+    private long pausedUntilMillis = Long.MIN_VALUE;
 
     public UpstreamLoad(Heartbeat heartbeat, long cacheTokens) {
         this.heartbeat = heartbeat;
@@ -102,6 +103,19 @@
         return nowMillis < suspendedUntilMillis;
     }
 
+    /**
+     * Pauses the upstream at its own request. Unlike a suspension, which is a guess from failed
+     * connections, a pause is always respected. A shorter request does not end a longer pause.
+     */
+    public void pauseUntil(long untilMillis) {
+        pausedUntilMillis = Math.max(pausedUntilMillis, untilMillis);
+    }
+
+    /** Returns the remaining time for which the upstream asked to get no requests, or 0. */
+    public long remainingPauseMillis(long nowMillis) {
+        return pausedUntilMillis > nowMillis ? pausedUntilMillis - nowMillis : 0;
+    }
+
     /** Records a request that is sent; returns its prompt tokens that are not cached yet. */
     public long requestStarted(RequestProfile profile) {
         long uncachedTokens = profile.promptTokens() - prefixes.sentPrefixTokens(profile);
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
@@ -16,6 +16,10 @@
     private final Map<String, UpstreamLoad> readyById = new LinkedHashMap<>();
     private final Map<String, Heartbeat> newestHeartbeats = new HashMap<>();
     private final Map<String, Heartbeat> addressOwners = new HashMap<>();
+
+    /** Incarnations that said in a response that they are leaving, by id. */
+    private final Map<String, Long> leavingIncarnations = new HashMap<>();
+
     private final ToLongFunction<String> cacheTokens;
 
     /**
@@ -48,7 +52,7 @@
         if (!assignAddress(heartbeat)) {
             return null;
         }
-        if (heartbeat.state() != UpstreamState.READY) {
+        if (heartbeat.state() != UpstreamState.READY || isLeaving(heartbeat)) {
             return readyById.remove(heartbeat.id());
         }
         UpstreamLoad known = readyById.get(heartbeat.id());
@@ -83,6 +87,33 @@
         return true;
     }
 
+    /**
+     * Records that an upstream said in a response that it is leaving. It gets no more requests,
+     * whatever its heartbeats say, which may be delayed or from a control instance that has not
+     * heard of it yet. A later incarnation with the same id is not affected.
+     *
+     * @return whether this is the first such response of this incarnation
+     */
+    public boolean markLeaving(UpstreamLoad upstream) {
+        Heartbeat heartbeat = upstream.heartbeat();
+        if (isLeaving(heartbeat)) {
+            return false;
+        }
+        leavingIncarnations.put(heartbeat.id(), heartbeat.incarnation());
+        remove(upstream);
+        return true;
+    }
+
+    private boolean isLeaving(Heartbeat heartbeat) {
+        Long leaving = leavingIncarnations.get(heartbeat.id());
+        return leaving != null && heartbeat.incarnation() <= leaving;
+    }
+
+    /** Returns whether an upstream still accepts new requests in the incarnation given. */
+    public boolean isReady(UpstreamLoad upstream) {
+        return readyById.get(upstream.heartbeat().id()) == upstream;
+    }
+
     /** Removes an upstream that turned out not to be at its address any more. */
     public void remove(UpstreamLoad upstream) {
         readyById.remove(upstream.heartbeat().id(), upstream);
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
@@ -38,6 +38,28 @@
         assertThat(upstreams.ofService("press")).isEmpty();
     }
 
+    @Test
+    void leavingUpstreamStaysOutWhateverItsLaterHeartbeatsSay() {
+        upstreams.accept(heartbeat("u1", "press", 1, UpstreamState.READY));
+        assertThat(upstreams.markLeaving(upstreams.ofService("press").get(0))).isTrue();
+        assertThat(upstreams.ofService("press")).isEmpty();
+        upstreams.accept(
+                new Heartbeat("u1", "press", "10.0.0.1:80", "a", 4, UpstreamState.READY, 1, 9));
+        assertThat(upstreams.ofService("press")).isEmpty();
+        upstreams.accept(heartbeat("u1", "press", 2, UpstreamState.READY));
+        assertThat(upstreams.ofService("press")).hasSize(1);
+    }
+
+    @Test
+    void lateResponseOfAnEarlierIncarnationDoesNotRemoveTheCurrentOne() {
+        upstreams.accept(heartbeat("u1", "press", 1, UpstreamState.READY));
+        UpstreamLoad earlier = upstreams.ofService("press").get(0);
+        upstreams.accept(heartbeat("u1", "press", 2, UpstreamState.READY));
+        upstreams.markLeaving(earlier);
+        assertThat(upstreams.ofService("press")).hasSize(1);
+        assertThat(upstreams.isReady(earlier)).isFalse();
+    }
+
     @Test
     void newIncarnationWithTheSameIdStartsWithoutHistory() {
         upstreams.accept(heartbeat("u1", "press", 1, UpstreamState.READY));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -97,7 +97,8 @@
         Dispatcher dispatcher =
                 new Dispatcher(
                         upstreamRegistry,
-                        new ExpectedTimePlacement(FleetSettings.location(settings), random));
+                        new ExpectedTimePlacement(FleetSettings.location(settings), random),
+                        random);
         this.forwarder =
                 new Forwarder(
                         loop,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -23,7 +23,6 @@
     private final long uncachedTokens;
     private final long startMillis;
     private @Nullable UpstreamConnection connection;
-    private @Nullable Failure failure;
     private boolean sent;
     private boolean responseStarted;
     private boolean ended;
@@ -33,6 +32,8 @@
     enum Failure {
         /** No connection could be opened. */
         UNREACHABLE,
+        /** The upstream stopped accepting requests while a connection was being opened. */
+        WITHDRAWN,
         /** Another upstream has the address now; the request was not executed there. */
         MISDIRECTED,
         /** The upstream did not execute the request, according to its response. */
@@ -45,6 +46,7 @@
         ResultCode resultCode() {
             switch (this) {
                 case UNREACHABLE:
+                case WITHDRAWN:
                 case MISDIRECTED:
                     return ResultCode.NO_UPSTREAM;
                 case DECLINED:
@@ -114,14 +116,18 @@
     }
 
     @Override
-    public void onSent() {
+    public boolean onConnected() {
         if (ended) {
-            // The request ended while the connection was being opened.
-            closeConnection();
-            return;
+            return false;
+        }
+        if (!forwarder.acceptsRequests(upstream)) {
+            recordEnd();
+            exchange.onFailure(this, Failure.WITHDRAWN);
+            return false;
         }
         sent = true;
         exchange.onSent();
+        return true;
     }
 
     @Override
@@ -139,13 +145,30 @@
             return;
         }
         successStatus = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        failure = classify(response);
-        if (failure == null) {
-            responseStarted = true;
-            upstream.firstEventReceived(uncachedTokens, elapsedMillis(), noOtherPromptWaiting);
-            forwarder.onLoadChange();
-            exchange.onResponseHead(response, successStatus);
+        if (!codec.isMisdirected(response)) {
+            forwarder.applyUpstreamNotices(upstream, response);
+        }
+        Failure failure = classify(response);
+        if (failure != null) {
+            endWithoutResponse(failure);
+            return;
+        }
+        responseStarted = true;
+        upstream.firstEventReceived(uncachedTokens, elapsedMillis(), noOtherPromptWaiting);
+        forwarder.onLoadChange();
+        exchange.onResponseHead(response, successStatus);
+    }
+
+    /** Ends the attempt at the head of a response that is not forwarded. */
+    private void endWithoutResponse(Failure failure) {
+        UpstreamConnection currentConnection = connection;
+        if (failure == Failure.BROKEN) {
+            closeConnection();
+        } else if (currentConnection != null) {
+            currentConnection.discardResponse();
         }
+        recordEnd();
+        reportFailure(failure);
     }
 
     private @Nullable Failure classify(HttpResponse response) {
@@ -164,8 +187,8 @@
 
     @Override
     public void onResponseBody(ByteBuf bytes) {
-        if (!ended && failure == null) {
-            exchange.onResponseBody(bytes);
+        if (!ended && !exchange.onResponseBody(bytes)) {
+            endWithoutResponse(Failure.BROKEN);
         }
     }
 
@@ -174,12 +197,9 @@
         if (ended) {
             return;
         }
-        if (failure == null && exchange.hasPartialEvent()) {
-            failure = Failure.BROKEN;
-        }
         recordEnd();
-        if (failure != null) {
-            reportFailure(failure);
+        if (exchange.hasPartialEvent()) {
+            reportFailure(Failure.BROKEN);
             return;
         }
         if (successStatus) {
@@ -194,7 +214,7 @@
     public void onResponseIncomplete() {
         if (!ended) {
             recordEnd();
-            reportFailure(failure == Failure.DECLINED ? Failure.DECLINED : Failure.BROKEN);
+            reportFailure(Failure.BROKEN);
         }
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -272,12 +272,16 @@
         caller.sendHead(response);
     }
 
-    /** Called with bytes of the response body, which the caller of this method releases. */
-    void onResponseBody(ByteBuf bytes) {
+    /**
+     * Called with bytes of the response body, which the caller of this method releases.
+     *
+     * @return false if the body cannot be forwarded, because it has an event of excessive length
+     */
+    boolean onResponseBody(ByteBuf bytes) {
         ServerSentEventScanner currentScanner = scanner;
         if (currentScanner == null) {
             caller.sendBody(bytes.retain());
-            return;
+            return true;
         }
         ByteBuf completeEvents = currentScanner.scan(bytes);
         if (completeEvents.isReadable()) {
@@ -285,6 +289,7 @@
         } else {
             completeEvents.release();
         }
+        return !currentScanner.isEventTooLong();
     }
 
     void onResponseComplete() {
@@ -306,6 +311,7 @@
                 retryUnsent(failure);
                 break;
             case UNREACHABLE:
+            case WITHDRAWN:
                 retryUnsent(failure);
                 break;
             case DECLINED:
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -17,6 +17,7 @@
 import dev.jayturn.daemon.link.LinkMeter;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
@@ -220,6 +221,32 @@
                                 retryBounds.slack()));
     }
 
+    /** Applies what an upstream says about itself in a response to one of its requests. */
+    void applyUpstreamNotices(UpstreamLoad upstream, HttpResponse response) {
+        long pauseMillis = codec.requestedPauseMillis(response);
+        if (pauseMillis > 0) {
+            upstream.pauseUntil(timers.nowMillis() + pauseMillis);
+            log.event(
+                    "upstream.paused",
+                    json -> {
+                        json.writeStringField("upstream", upstream.heartbeat().id());
+                        json.writeNumberField("millis", pauseMillis);
+                    });
+        }
+        if (codec.isLeaving(response) && upstreams.markLeaving(upstream)) {
+            pools.closeIdleConnections(upstream);
+            log.event(
+                    "upstream.leaving",
+                    json -> json.writeStringField("upstream", upstream.heartbeat().id()));
+        }
+    }
+
+    /** Returns whether an upstream that was chosen before still accepts requests. */
+    boolean acceptsRequests(UpstreamLoad upstream) {
+        return upstreams.isReady(upstream)
+                && upstream.remainingPauseMillis(timers.nowMillis()) == 0;
+    }
+
     /** Returns whether this instance's part of an upstream's connection limit admits a request. */
     boolean canConnect(Service service, UpstreamLoad upstream) {
         int maxConnections =
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
@@ -34,6 +34,15 @@
      */
     boolean isMisdirected(HttpResponse response);
 
+    /** Returns whether the upstream reports that it is leaving and wants no more requests. */
+    boolean isLeaving(HttpResponse response);
+
+    /**
+     * Returns the time in milliseconds for which the upstream asks to get no more requests from
+     * this instance; 0 if it does not, or if the value cannot be parsed.
+     */
+    long requestedPauseMillis(HttpResponse response);
+
     /** Sets the request's id in a response that the entry instance creates itself. */
     void setRequestId(HttpHeaders headers, String requestId);
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServerSentEventScanner.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServerSentEventScanner.java
@@ -8,11 +8,24 @@
 final class ServerSentEventScanner {
     private static final String ID_FIELD = "id:";
 
+    /** Maximum size of one event; a faulty upstream may send one that never ends. */
+    private static final int MAX_EVENT_BYTES = 256 * 1_024;
+
+    /** The incomplete event at the end of the bytes received so far. */
     private final ByteBuf buffer;
+
     private String lastId;
     private String pendingId = "";
     private long eventCount;
 
+    /** Number of buffered bytes that were scanned before. */
+    private int scannedBytes;
+
+    /** Offset in the buffer at which the current line starts. */
+    private int lineOffset;
+
+    private boolean blankLine = true;
+
     ServerSentEventScanner(ByteBufAllocator allocator, String lastId) {
         this.buffer = allocator.heapBuffer();
         this.lastId = lastId;
@@ -33,30 +46,29 @@
 
     /** Adds bytes and returns the events that they complete, which may be none. */
     ByteBuf scan(ByteBuf bytes) {
-        int searchFrom = buffer.readerIndex();
         buffer.writeBytes(bytes);
-        int end = searchFrom;
-        int lineStart = searchFrom;
-        boolean blankLine = true;
-        int eventStart = searchFrom;
-        for (int i = searchFrom; i < buffer.writerIndex(); i++) {
-            byte character = buffer.getByte(i);
+        int start = buffer.readerIndex();
+        int length = buffer.readableBytes();
+        int completeBytes = 0;
+        for (int offset = scannedBytes; offset < length; offset++) {
+            byte character = buffer.getByte(start + offset);
             if (character != '\n') {
                 blankLine &= character == '\r';
                 continue;
             }
-            if (blankLine && i > eventStart) {
-                end = i + 1;
-                eventStart = end;
+            if (!blankLine) {
+                parseLine(start + lineOffset, offset - lineOffset);
+            } else if (offset > completeBytes) {
+                completeBytes = offset + 1;
                 completeEvent();
-            } else if (!blankLine) {
-                parseLine(lineStart, i);
             }
-            lineStart = i + 1;
+            lineOffset = offset + 1;
             blankLine = true;
         }
-        ByteBuf completeEvents = buffer.readBytes(end - searchFrom);
+        ByteBuf completeEvents = buffer.readBytes(completeBytes);
         buffer.discardSomeReadBytes();
+        scannedBytes = length - completeBytes;
+        lineOffset -= completeBytes;
         return completeEvents;
     }
 
@@ -68,8 +80,7 @@
         }
     }
 
-    private void parseLine(int start, int end) {
-        int length = end - start;
+    private void parseLine(int start, int length) {
         if (length > ID_FIELD.length()) {
             String line = buffer.toString(start, length, StandardCharsets.UTF_8);
             if (line.startsWith(ID_FIELD)) {
@@ -83,10 +94,18 @@
         return buffer.isReadable();
     }
 
+    /** Returns whether the incomplete event exceeds the maximum size. */
+    boolean isEventTooLong() {
+        return buffer.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Discards the incomplete event, after the stream of its upstream was interrupted. */
     void discardPartialEvent() {
         buffer.clear();
         pendingId = "";
+        scannedBytes = 0;
+        lineOffset = 0;
+        blankLine = true;
     }
 
     void release() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -1,6 +1,8 @@
 package dev.jayturn.daemon.proxy;
 
 import com.google.common.flogger.FluentLogger;
+import dev.jayturn.core.timer.Cancellable;
+import dev.jayturn.core.timer.TimerService;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -28,23 +30,41 @@
      */
     private static final long IDLE_TIMEOUT_MARGIN_MILLIS = 1_000;
 
+    /**
+     * Limits on what is read and discarded for one request: informational responses, responses to
+     * other requests, and the body of a response that is not forwarded. A faulty upstream may send
+     * such bytes without end.
+     */
+    private static final int MAX_SKIPPED_RESPONSES = 8;
+
+    private static final int MAX_SKIPPED_BYTES = 64 * 1_024;
+
+    private static final long MAX_DISCARD_MILLIS = 1_000;
+
     private final UpstreamConnectionPool pool;
     private final HeaderCodec codec;
     private final Channel channel;
+    private final TimerService timers;
     private @Nullable UpstreamListener listener;
     private String requestId = "";
     private boolean requestWritten;
     private boolean headReceived;
     private boolean skippingResponse;
+    private boolean discardingResponse;
+    private int skippedResponses;
+    private int skippedBytes;
+    private @Nullable Cancellable discardTimer;
     private boolean keepAlive;
     private boolean connectionFailed;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
 
-    UpstreamConnection(UpstreamConnectionPool pool, HeaderCodec codec, Channel channel) {
+    UpstreamConnection(
+            UpstreamConnectionPool pool, HeaderCodec codec, Channel channel, TimerService timers) {
         this.pool = pool;
         this.codec = codec;
         this.channel = channel;
+        this.timers = timers;
     }
 
     Channel channel() {
@@ -60,15 +80,24 @@
         return channel.isActive() && nowMillis - idleSinceMillis < idleTimeoutMillis;
     }
 
-    /** Sends a request; the listener receives its progress and its response. */
+    /**
+     * Sends a request, unless the listener no longer wants it sent. The listener receives the
+     * progress and the response.
+     */
     void send(FullHttpRequest request, String id, UpstreamListener responseListener) {
+        if (!responseListener.onConnected()) {
+            request.release();
+            pool.release(this);
+            return;
+        }
         listener = responseListener;
         requestId = id;
         requestWritten = false;
         headReceived = false;
         keepAlive = true;
+        skippedResponses = 0;
+        skippedBytes = 0;
         channel.config().setAutoRead(true);
-        responseListener.onSent();
         channel.writeAndFlush(request)
                 .addListener(
                         done -> {
@@ -85,6 +114,17 @@
         channel.close();
     }
 
+    /**
+     * Reads and discards the rest of the current response, after which the connection can be used
+     * again. The connection is closed if the rest is too long or takes too long.
+     */
+    void discardResponse() {
+        listener = null;
+        discardingResponse = true;
+        channel.config().setAutoRead(true);
+        discardTimer = timers.schedule(MAX_DISCARD_MILLIS, channel::close);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
@@ -95,8 +135,7 @@
     }
 
     private void read(HttpObject message) {
-        UpstreamListener responseListener = listener;
-        if (responseListener == null) {
+        if (listener == null && !discardingResponse) {
             // Bytes without a request: responses after them could be attributed to the wrong
             // request.
             channel.close();
@@ -107,19 +146,26 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            readHead(response, responseListener);
+            readHead(response);
         }
         if (message instanceof HttpContent content) {
-            readBody(content, responseListener);
+            readBody(content);
         }
     }
 
-    private void readHead(HttpResponse response, UpstreamListener responseListener) {
+    private void readHead(HttpResponse response) {
+        UpstreamListener responseListener = listener;
+        if (responseListener == null) {
+            return;
+        }
         String id = codec.responseRequestId(response);
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         // A late response to an earlier request may arrive before the response to this one.
         skippingResponse = informational || (!id.isEmpty() && !id.equals(requestId));
         if (skippingResponse) {
+            if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
+                channel.close();
+            }
             return;
         }
         headReceived = true;
@@ -145,13 +191,14 @@
         idleTimeoutMillis = Math.max(0, seconds * 1000 - IDLE_TIMEOUT_MARGIN_MILLIS);
     }
 
-    private void readBody(HttpContent content, UpstreamListener responseListener) {
+    private void readBody(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (skippingResponse) {
-            skippingResponse = !last;
+        if (skippingResponse || discardingResponse) {
+            skip(content, last);
             return;
         }
-        if (!headReceived || (last && connectionFailed)) {
+        UpstreamListener responseListener = listener;
+        if (responseListener == null || !headReceived || (last && connectionFailed)) {
             return;
         }
         if (content.content().isReadable()) {
@@ -159,15 +206,44 @@
         }
         if (last && listener == responseListener) {
             listener = null;
-            if (keepAlive && requestWritten) {
-                pool.release(this);
-            } else {
-                channel.close();
-            }
+            releaseOrClose();
             responseListener.onResponseComplete();
         }
     }
 
+    private void skip(HttpContent content, boolean last) {
+        skippedBytes += content.content().readableBytes();
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+            channel.close();
+            return;
+        }
+        if (!last) {
+            return;
+        }
+        skippingResponse = false;
+        if (discardingResponse) {
+            endDiscard();
+            releaseOrClose();
+        }
+    }
+
+    private void endDiscard() {
+        discardingResponse = false;
+        Cancellable timer = discardTimer;
+        discardTimer = null;
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    private void releaseOrClose() {
+        if (keepAlive && requestWritten) {
+            pool.release(this);
+        } else {
+            channel.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOGGER.atFine().withCause(cause).log("proxy: Connection to an upstream failed.");
@@ -179,6 +255,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.onClosed(this);
+        endDiscard();
         UpstreamListener responseListener = listener;
         listener = null;
         if (responseListener != null) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
@@ -127,7 +127,8 @@
                                                 new UpstreamConnection(
                                                         UpstreamConnectionPool.this,
                                                         codec,
-                                                        channel));
+                                                        channel,
+                                                        timers));
                             }
                         });
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
@@ -4,12 +4,17 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Receives the progress of one attempt at an upstream. Unless the attempt is cancelled, the last
- * call is {@link #onUnreachable}, {@link #onResponseComplete} or {@link #onResponseIncomplete}.
+ * Receives the progress of one attempt at an upstream. Unless the attempt is cancelled or ends
+ * itself, the last call is {@link #onUnreachable}, {@link #onResponseComplete} or {@link
+ * #onResponseIncomplete}.
  */
 interface UpstreamListener {
-    /** Called just before the request is written to an open connection. */
-    void onSent();
+    /**
+     * Called when a connection is open, just before the request is written to it.
+     *
+     * @return whether to write the request; if not, this is the last call
+     */
+    boolean onConnected();
 
     /** Called when no connection could be opened, so that nothing was sent. */
     void onUnreachable();
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/ServerSentEventScannerTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/ServerSentEventScannerTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 final class ServerSentEventScannerTest {
     private final ServerSentEventScanner scanner =
@@ -43,6 +44,29 @@
         assertThat(scanner.lastId()).isEqualTo("before");
     }
 
+    @Test
+    void eventIsTheSameHoweverItsBytesArrive() {
+        String events = "id: 1\ndata: a\n\n: comment\r\n\r\nid: 22\ndata: b\n\n";
+        StringBuilder forwarded = new StringBuilder();
+        for (char character : events.toCharArray()) {
+            forwarded.append(scan(String.valueOf(character)));
+        }
+        assertThat(forwarded.toString()).isEqualTo(events);
+        assertThat(scanner.eventCount()).isEqualTo(3);
+        assertThat(scanner.lastId()).isEqualTo("22");
+    }
+
+    @Test
+    @Timeout(5)
+    void eventWithoutEndIsReportedAfterABoundedNumberOfBytes() {
+        int bytes = 0;
+        while (!scanner.isEventTooLong()) {
+            assertThat(scan("data: x\n")).isEmpty();
+            bytes += 8;
+            assertThat(bytes).isLessThan(1 << 20);
+        }
+    }
+
     @Test
     void linesMayEndWithCarriageReturnAndLineFeed() {
         assertThat(scan("id: 7\r\ndata: x\r\n\r\n")).isEqualTo("id: 7\r\ndata: x\r\n\r\n");
