--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/Settings.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/Settings.java
@@ -12,13 +12,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
-import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.ini4j.Ini;
+import org.ini4j.Profile;
 
 /** The valid settings of an instance, with defaults for absent keys. */
 public final class Settings {
@@ -49,18 +47,18 @@
      * @throws SettingsException if a key is unknown or a value is malformed, out of range or unsafe
      */
     public static Settings parse(String name, String text) throws SettingsException {
-        INIConfiguration ini = new INIConfiguration();
+        Ini ini = new Ini();
+        // Values are taken as they are; a backslash in a path is no escape.
+        ini.getConfig().setEscape(false);
         try (Reader reader = new StringReader(text)) {
-            ini.read(reader);
-        } catch (IOException | ConfigurationException e) {
+            ini.load(reader);
+        } catch (IOException e) {
             throw new SettingsException(
                     name, 1, ResultCode.SETTING_BAD_VALUE, String.valueOf(e.getMessage()));
         }
         Map<SettingKey, String> values = new EnumMap<>(SettingKey.class);
-        for (String section : ini.getSections()) {
-            if (section != null) {
-                readSection(name, text, section, ini.getSection(section), values);
-            }
+        for (Profile.Section section : ini.values()) {
+            readSection(name, text, section, values);
         }
         Settings settings = new Settings(values);
         settings.requireTokenUnlessLoopback(
@@ -71,22 +69,17 @@
     }
 
     private static void readSection(
-            String file,
-            String text,
-            String section,
-            SubnodeConfiguration node,
-            Map<SettingKey, String> values)
+            String file, String text, Profile.Section section, Map<SettingKey, String> values)
             throws SettingsException {
-        Iterator<String> keys = node.getKeys();
-        while (keys.hasNext()) {
-            String key = keys.next();
-            SettingKey settingKey = SettingKey.find(section, key);
-            int line = findLine(text, section, key);
+        String sectionName = section.getName();
+        for (String key : section.keySet()) {
+            SettingKey settingKey = SettingKey.find(sectionName, key);
+            int line = findLine(text, sectionName, key);
             if (settingKey == null) {
                 throw new SettingsException(
-                        file, line, ResultCode.SETTING_UNKNOWN, "[" + section + "] " + key);
+                        file, line, ResultCode.SETTING_UNKNOWN, "[" + sectionName + "] " + key);
             }
-            String value = String.valueOf(node.getString(key));
+            String value = section.get(key);
             checkValue(file, line, settingKey, value);
             values.put(settingKey, value);
         }
