--- a/jayturn-core/src/main/java/dev/jayturn/core/request/EntryNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/request/EntryNode.java
@@ -2,6 +2,7 @@
 
 import dev.jayturn.core.control.ControlAnswer;
 import dev.jayturn.core.limits.CustomerLimits;
+import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.result.Refusal;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.retry.CircuitBreakers;
@@ -46,6 +47,7 @@
             CircuitBreakers breakers,
             Transport transport,
             TimerService timers,
+            RandomSource random,
             DecisionLog decisionLog) {
         this.idPrefix = instance + "-" + Long.toString(incarnation, 36) + "-";
         this.router = router;
@@ -54,7 +56,8 @@
         this.decisionLog = decisionLog;
         this.limits = new CustomerLimits(timers);
         this.ledgers = new LedgerClient(instance, incarnation, controls, transport, timers);
-        this.control = new ControlClient(instance, incarnation, controls, transport, timers);
+        this.control =
+                new ControlClient(instance, incarnation, controls, transport, timers, random);
     }
 
     /**
--- a/jayturn-core/src/test/java/dev/jayturn/core/scenario/EntryInstance.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/scenario/EntryInstance.java
@@ -50,6 +50,7 @@
                         breakers,
                         process,
                         process,
+                        new SeededRandom(random),
                         (call, message) -> {});
         process.onMessage(
                 (to, message) -> {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/CoreComponents.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/CoreComponents.java
@@ -64,6 +64,7 @@
                         breakers,
                         transport,
                         loop,
+                        random,
                         CoreComponents::logDecision);
         queryClient = new ControlQueryClient(name, controlInstances, transport, loop);
     }
