Open the socket for callers before the rest of the program is loaded

Callers try twice. Change: the socket is opened as soon as the settings are read, at about 0.1 processor seconds; callers wait in the backlog until the event loop accepts them.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -17,7 +17,6 @@
 import dev.jayturn.core.fleet.Peer;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.random.RandomSource;
-import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.link.EventLoopTimers;
@@ -125,9 +124,9 @@
     /**
      * Starts the entry instance; call on the event loop.
      *
-     * @param startedAt clocks at the start of this process
+     * @param start what was done first in this process
      */
-    public void start(ClockReading startedAt, HttpHandler readinessHandler) {
+    public void start(ProcessStart start, HttpHandler readinessHandler) {
         String self = FleetSettings.linkAddress(settings);
         LinkTransport transport =
                 new LinkTransport(
@@ -142,13 +141,13 @@
                         timers,
                         random,
                         System::currentTimeMillis,
-                        startedAt,
+                        start.clocks(),
                         this);
         PeerLoads loads = new PeerLoads(self, upstreamRegistry, transport, timers);
         entryInstance = entry;
         peerLoads = loads;
         forwarder.setEntryInstance(entry, loads);
-        proxyServer.listen(settings.address(SettingKey.FLEET_CALLERS));
+        proxyServer.accept(start.callers());
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler)
                 .listen(settings.address(SettingKey.FLEET_READY));
         serveMetrics(entry);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/ServerSockets.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/ServerSockets.java
@@ -8,7 +8,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.util.function.Consumer;
 
 /** Opens listening sockets without blocking the event loop. */
@@ -38,6 +41,36 @@
                 .channel();
     }
 
+    /**
+     * Opens a listening socket before there is an event loop. Callers that connect are queued by
+     * the operating system until {@link #accept} is called, instead of being refused.
+     *
+     * @throws IOException if the address cannot be used
+     */
+    public static ServerSocketChannel open(InetSocketAddress address) throws IOException {
+        ServerSocketChannel socket = ServerSocketChannel.open();
+        socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        return socket.bind(address, ACCEPT_BACKLOG);
+    }
+
+    /**
+     * Accepts the connections of a socket that listens already.
+     *
+     * @param initializer adds the handlers of each accepted connection
+     */
+    public static Channel accept(
+            EventLoop loop, ServerSocketChannel socket, Consumer<Channel> initializer) {
+        Channel channel =
+                bootstrap(loop, initializer)
+                        .channelFactory(() -> new NioServerSocketChannel(socket))
+                        .option(ChannelOption.AUTO_READ, false)
+                        .register()
+                        .channel();
+        // The handler that accepts is added by a task of the loop; connections must not come first.
+        loop.execute(() -> channel.config().setAutoRead(true));
+        return channel;
+    }
+
     /**
      * Listens at an address, and only logs an error if that fails.
      *
@@ -60,11 +93,16 @@
 
     private static ChannelFuture bind(
             EventLoop loop, InetSocketAddress address, Consumer<Channel> initializer) {
-        return new ServerBootstrap()
-                .group(loop)
+        return bootstrap(loop, initializer)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .bind(address);
+    }
+
+    private static ServerBootstrap bootstrap(EventLoop loop, Consumer<Channel> initializer) {
+        return new ServerBootstrap()
+                .group(loop)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(
                         new ChannelInitializer<Channel>() {
@@ -72,7 +110,6 @@
                             protected void initChannel(Channel channel) {
                                 initializer.accept(channel);
                             }
-                        })
-                .bind(address);
+                        });
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -5,7 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -36,9 +36,9 @@
         forwarder.timers().every(TIMEOUT_CHECK_INTERVAL_MILLIS, this::closeTimedOutConnections);
     }
 
-    /** Listens for callers. */
-    public void listen(InetSocketAddress address) {
-        serverChannel = ServerSockets.listen(loop, address, this::initChannel);
+    /** Accepts the callers that connect to a socket. */
+    public void accept(ServerSocketChannel socket) {
+        serverChannel = ServerSockets.accept(loop, socket, this::initChannel);
     }
 
     private void initChannel(Channel channel) {
