Show more holders to have ended within their leases, and never count tokens twice

Change: each report gives the leader an estimate of the start, of which the earliest counts, and a holder that is not yet shown to have ended in time is retired 1.5 s after its successor's first report.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -84,7 +84,8 @@
             FleetState state,
             Transport transport,
             TimerService timers,
-            WallClock wallClock) {
+            WallClock wallClock,
+            RetirementListener retirementListener) {
         this.wallClock = wallClock;
         this.self = self;
         this.epoch = epoch;
@@ -92,7 +93,7 @@
         this.state = state;
         this.transport = transport;
         this.timers = timers;
-        this.sliceCoordinator = new SliceCoordinator(raft, state);
+        this.sliceCoordinator = new SliceCoordinator(raft, state, retirementListener);
         this.configurationCalls =
                 new ConfigurationCallHandler(self, raft, state, transport, timers);
         state.setListeners(this::schedulePush, this::pushToWaitingEntries);
@@ -165,7 +166,7 @@
         entry.applyReport(report, timers.nowMillis(), wallClock.wallMillis());
         entry.confirmedTableRevision = report.tableEpoch() == epoch ? report.tableRevision() : 0;
         if (raft.isLeader() && (entry.hasShortage() || report.leaving())) {
-            sliceCoordinator.plan(entries, liveEntries(), peers);
+            sliceCoordinator.plan(entries, liveEntries(), peers, timers.nowMillis());
         }
         push(report.from(), entry);
     }
@@ -181,7 +182,7 @@
         long now = timers.nowMillis();
         adoptStablePeers(now);
         if (raft.isLeader()) {
-            sliceCoordinator.plan(entries, liveEntries(), peers);
+            sliceCoordinator.plan(entries, liveEntries(), peers, timers.nowMillis());
         }
         if (now - lastHeartbeatShareMillis >= HEARTBEAT_SHARE_INTERVAL_MILLIS) {
             lastHeartbeatShareMillis = now;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
@@ -27,9 +27,15 @@
     ClockReading startedAt = new ClockReading("", 0, 0);
     ClockReading promisedAt = new ClockReading("", 0, 0);
 
-    /** Wall clock of this control instance when the entry instance started, as far as it knows. */
+    /**
+     * Wall clock of this control instance when the entry instance started. Each report gives an
+     * estimate that is late by the time the report took; the earliest counts.
+     */
     long startedWallMillis;
 
+    /** Time of the first report of this incarnation. */
+    long firstReportMillis;
+
     /** Wall clock of this control instance when the entry instance made its last promise. */
     long promisedWallMillis;
 
@@ -72,8 +78,10 @@
             sentPeersHash = 0;
             startedAt = report.started();
             promisedAt = report.promised();
-            startedWallMillis = wallMillis - ageMillis(report, startedAt);
+            startedWallMillis = Long.MAX_VALUE;
+            firstReportMillis = nowMillis;
         }
+        startedWallMillis = Math.min(startedWallMillis, wallMillis - ageMillis(report, startedAt));
         holder = report.holder();
         dataCentre = report.dataCentre();
         lastReportMillis = nowMillis;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/SliceCoordinator.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/SliceCoordinator.java
@@ -13,7 +13,6 @@
 import dev.jayturn.core.slice.SliceTotals;
 import dev.jayturn.core.transport.Addresses;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,7 @@
  */
 final class SliceCoordinator {
     /** A lease is renewed once the holder's promise is newer than the recorded one by this time. */
-    private static final long LEASE_RENEWAL_INTERVAL_MILLIS = 450;
+    private static final long LEASE_RENEWAL_INTERVAL_MILLIS = 200;
 
     /**
      * A budget is nearly spent once less than 1/N of it is left, where N is this number. Every
@@ -34,12 +33,21 @@
      */
     private static final int NEARLY_SPENT_DIVISOR = 10;
 
+    /**
+     * Time for the reports of a successor to show that its predecessor ended within its lease. The
+     * first report is late: the connection is new, and after a crash of all processes everything
+     * starts at once. Until then only the predecessor's tokens are missing.
+     */
+    private static final long PROOF_WAIT_MILLIS = 1_500;
+
     private final RaftNode raft;
     private final FleetState state;
-    private Map<String, Long> spentByCustomer = Map.of();
+    private Map<String, Long> remainingByCustomer = Map.of();
+    private final RetirementListener listener;
     private boolean changePending;
 
-    SliceCoordinator(RaftNode raft, FleetState state) {
+    SliceCoordinator(RaftNode raft, FleetState state, RetirementListener listener) {
+        this.listener = listener;
         this.raft = raft;
         this.state = state;
     }
@@ -50,12 +58,14 @@
      * @param entries all entry instances by link address
      * @param live entry instances that have reported recently
      * @param stablePeers entry instances that slices may be issued to
+     * @param nowMillis current time
      */
     void plan(
             Map<String, EntryInstanceState> entries,
             List<EntryInstanceState> live,
-            List<Peer> stablePeers) {
-        updateSpent(entries);
+            List<Peer> stablePeers,
+            long nowMillis) {
+        remainingByCustomer = RemainingTokens.estimate(state.slices(), entries.values());
         if (changePending || state.configuration().version() == 0) {
             return;
         }
@@ -89,7 +99,7 @@
         SliceChange change =
                 new SliceChange(
                         returns,
-                        replacedHolders(table, entries),
+                        replacedHolders(table, entries, nowMillis),
                         renewedLeases(table, live),
                         SlicePlanner.planMarks(table, liveHolders),
                         plan.issues());
@@ -98,24 +108,6 @@
         }
     }
 
-    /** Updates the spent tokens: what holders reported plus what retired holders may have spent. */
-    private void updateSpent(Map<String, EntryInstanceState> entries) {
-        SliceTable table = state.slices();
-        Map<String, Long> sums = new HashMap<>();
-        for (String customer : table.prepaid().keySet()) {
-            sums.put(customer, table.consumed(customer));
-        }
-        for (EntryInstanceState entry : entries.values()) {
-            if (table.isRetired(entry.holder)) {
-                continue;
-            }
-            for (SliceStatus status : entry.sliceStatuses.values()) {
-                sums.merge(status.customer(), status.spent(), Long::sum);
-            }
-        }
-        spentByCustomer = sums;
-    }
-
     private List<SliceLease> renewedLeases(SliceTable table, List<EntryInstanceState> live) {
         List<SliceLease> renewed = new ArrayList<>();
         for (EntryInstanceState entry : live) {
@@ -134,15 +126,20 @@
     }
 
     /** Returns the holders that have been replaced by another incarnation at their address. */
-    private static List<SliceRetirement> replacedHolders(
-            SliceTable table, Map<String, EntryInstanceState> entries) {
+    private List<SliceRetirement> replacedHolders(
+            SliceTable table, Map<String, EntryInstanceState> entries, long nowMillis) {
         List<SliceRetirement> replaced = new ArrayList<>();
         for (String holder : table.holders()) {
             EntryInstanceState successor = entries.get(Addresses.instanceOf(holder));
             if (successor != null && !successor.holder.equals(holder)) {
-                replaced.add(
+                SliceRetirement retirement =
                         new SliceRetirement(
-                                holder, successor.startedAt, successor.startedWallMillis));
+                                holder, successor.startedAt, successor.startedWallMillis);
+                boolean withinLease = table.endedWithinLease(retirement);
+                if (withinLease || nowMillis - successor.firstReportMillis >= PROOF_WAIT_MILLIS) {
+                    replaced.add(retirement);
+                    listener.onRetirement(retirement, table.lease(holder), withinLease);
+                }
             }
         }
         return replaced;
@@ -193,7 +190,7 @@
                             SliceStatus status = entry.sliceStatuses.get(customer);
                             SliceTotals totals = table.totals(entry.holder, customer);
                             long recall = entry.recalls.getOrDefault(customer, 0L);
-                            long remaining = prepaid - spentByCustomer.getOrDefault(customer, 0L);
+                            long remaining = remainingByCustomer.getOrDefault(customer, prepaid);
                             boolean changed =
                                     status == null
                                             || status.knownIssuedTotal() != totals.issued()
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
@@ -88,9 +88,8 @@
         if (!retiredHolders.add(retirement.holder())) {
             return;
         }
-        SliceLease lease = leases.remove(retirement.holder());
-        // A holder without a lease may draw no more than its marks.
-        boolean withinLease = lease == null || retirement.isWithin(lease);
+        boolean withinLease = endedWithinLease(retirement);
+        leases.remove(retirement.holder());
         Map<String, SliceTotals> totalsByCustomer = totalsByHolder.remove(retirement.holder());
         if (totalsByCustomer == null) {
             return;
@@ -107,6 +106,15 @@
                 });
     }
 
+    /**
+     * Returns whether a holder that is to be retired may have drawn no more than its marks. That is
+     * also so for a holder without a lease.
+     */
+    public boolean endedWithinLease(SliceRetirement retirement) {
+        SliceLease lease = leases.get(retirement.holder());
+        return lease == null || retirement.isWithin(lease);
+    }
+
     private void applyIssue(SliceIssue issue) {
         long tokens = Math.min(issue.tokens(), unissued(issue.customer()));
         if (tokens <= 0 || retiredHolders.contains(issue.holder())) {
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -126,7 +126,14 @@
                             state);
             instance =
                     new ControlInstance(
-                            name, starts, raft, state, process, process, time::nowMillis);
+                            name,
+                            starts,
+                            raft,
+                            state,
+                            process,
+                            process,
+                            time::nowMillis,
+                            (retirement, lease, withinLease) -> {});
             ControlInstance receiver = instance;
             process.onMessage((to, message) -> receiver.handle(message));
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -14,6 +14,9 @@
 import dev.jayturn.core.fleet.PutConfiguration;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.slice.ClockReading;
+import dev.jayturn.core.slice.SliceLease;
+import dev.jayturn.core.slice.SliceRetirement;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.journal.FileJournal;
@@ -153,7 +156,8 @@
                         fleetState,
                         transport,
                         timers,
-                        System::currentTimeMillis);
+                        System::currentTimeMillis,
+                        this::logRetirement);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
@@ -257,6 +261,30 @@
                         });
     }
 
+    private void logRetirement(
+            SliceRetirement retirement, @Nullable SliceLease lease, boolean withinLease) {
+        log.event(
+                "holder.retired",
+                json -> {
+                    json.writeStringField("holder", retirement.holder());
+                    json.writeBooleanField("withinLease", withinLease);
+                    if (lease != null) {
+                        ClockReading promised = lease.promised();
+                        ClockReading started = retirement.started();
+                        json.writeBooleanField(
+                                "sameBoot", started.bootId().equals(promised.bootId()));
+                        json.writeNumberField(
+                                "monotonicElapsed",
+                                started.monotonicMillis() - promised.monotonicMillis());
+                        json.writeNumberField(
+                                "wallElapsed", started.wallMillis() - promised.wallMillis());
+                        json.writeNumberField(
+                                "leaderElapsed",
+                                retirement.leaderWallMillis() - lease.leaderWallMillis());
+                    }
+                });
+    }
+
     private void logPutOutcome(String event, long version, long currentVersion) {
         log.event(
                 event,
