Take back the early socket and the wait for proof; bound the estimates of remaining tokens

Change: the socket opens where it did, holders are retired at once, and the estimate is made at most every 100 ms (a top-up counts at once).

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
@@ -33,9 +33,6 @@
      */
     long startedWallMillis;
 
-    /** Time of the first report of this incarnation. */
-    long firstReportMillis;
-
     /** Wall clock of this control instance when the entry instance made its last promise. */
     long promisedWallMillis;
 
@@ -79,7 +76,6 @@
             startedAt = report.started();
             promisedAt = report.promised();
             startedWallMillis = Long.MAX_VALUE;
-            firstReportMillis = nowMillis;
         }
         startedWallMillis = Math.min(startedWallMillis, wallMillis - ageMillis(report, startedAt));
         holder = report.holder();
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/SliceCoordinator.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/SliceCoordinator.java
@@ -34,15 +34,19 @@
     private static final int NEARLY_SPENT_DIVISOR = 10;
 
     /**
-     * Time for the reports of a successor to show that its predecessor ended within its lease. The
-     * first report is late: the connection is new, and after a crash of all processes everything
-     * starts at once. Until then only the predecessor's tokens are missing.
+     * Minimum interval between estimates of the remaining tokens. A shortage at many instances asks
+     * for plans far more often, and an estimate takes time for each of their slices.
      */
-    private static final long PROOF_WAIT_MILLIS = 1_500;
+    private static final long ESTIMATE_INTERVAL_MILLIS = 100;
 
     private final RaftNode raft;
     private final FleetState state;
     private Map<String, Long> remainingByCustomer = Map.of();
+
+    /** The prepaid tokens that the estimate of the remaining tokens is based on. */
+    private Map<String, Long> estimatedPrepaid = Map.of();
+
+    private long estimatedAtMillis = Long.MIN_VALUE / 2;
     private final RetirementListener listener;
     private boolean changePending;
 
@@ -65,7 +69,7 @@
             List<EntryInstanceState> live,
             List<Peer> stablePeers,
             long nowMillis) {
-        remainingByCustomer = RemainingTokens.estimate(state.slices(), entries.values());
+        updateRemaining(entries, nowMillis);
         if (changePending || state.configuration().version() == 0) {
             return;
         }
@@ -99,7 +103,7 @@
         SliceChange change =
                 new SliceChange(
                         returns,
-                        replacedHolders(table, entries, nowMillis),
+                        replacedHolders(table, entries),
                         renewedLeases(table, live),
                         SlicePlanner.planMarks(table, liveHolders),
                         plan.issues());
@@ -108,6 +112,23 @@
         }
     }
 
+    private void updateRemaining(Map<String, EntryInstanceState> entries, long nowMillis) {
+        if (nowMillis - estimatedAtMillis < ESTIMATE_INTERVAL_MILLIS) {
+            return;
+        }
+        estimatedAtMillis = nowMillis;
+        estimatedPrepaid = state.slices().prepaid();
+        remainingByCustomer = RemainingTokens.estimate(state.slices(), entries.values());
+    }
+
+    /** Returns the remaining tokens; a top-up since the estimate counts at once. */
+    private long remaining(String customer, long prepaid) {
+        Long estimated = remainingByCustomer.get(customer);
+        return estimated == null
+                ? prepaid
+                : estimated + prepaid - estimatedPrepaid.getOrDefault(customer, prepaid);
+    }
+
     private List<SliceLease> renewedLeases(SliceTable table, List<EntryInstanceState> live) {
         List<SliceLease> renewed = new ArrayList<>();
         for (EntryInstanceState entry : live) {
@@ -127,7 +148,7 @@
 
     /** Returns the holders that have been replaced by another incarnation at their address. */
     private List<SliceRetirement> replacedHolders(
-            SliceTable table, Map<String, EntryInstanceState> entries, long nowMillis) {
+            SliceTable table, Map<String, EntryInstanceState> entries) {
         List<SliceRetirement> replaced = new ArrayList<>();
         for (String holder : table.holders()) {
             EntryInstanceState successor = entries.get(Addresses.instanceOf(holder));
@@ -135,11 +156,9 @@
                 SliceRetirement retirement =
                         new SliceRetirement(
                                 holder, successor.startedAt, successor.startedWallMillis);
-                boolean withinLease = table.endedWithinLease(retirement);
-                if (withinLease || nowMillis - successor.firstReportMillis >= PROOF_WAIT_MILLIS) {
-                    replaced.add(retirement);
-                    listener.onRetirement(retirement, table.lease(holder), withinLease);
-                }
+                replaced.add(retirement);
+                listener.onRetirement(
+                        retirement, table.lease(holder), table.endedWithinLease(retirement));
             }
         }
         return replaced;
@@ -190,7 +209,7 @@
                             SliceStatus status = entry.sliceStatuses.get(customer);
                             SliceTotals totals = table.totals(entry.holder, customer);
                             long recall = entry.recalls.getOrDefault(customer, 0L);
-                            long remaining = remainingByCustomer.getOrDefault(customer, prepaid);
+                            long remaining = remaining(customer, prepaid);
                             boolean changed =
                                     status == null
                                             || status.knownIssuedTotal() != totals.issued()
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -17,10 +17,12 @@
 import dev.jayturn.core.fleet.Peer;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.link.EventLoopTimers;
 import dev.jayturn.daemon.link.LinkTransport;
+import dev.jayturn.daemon.link.ServerSockets;
 import dev.jayturn.daemon.loop.ThreadLocalRandomSource;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import dev.jayturn.daemon.proxy.Forwarder;
@@ -30,6 +32,7 @@
 import dev.jayturn.daemon.settings.Settings;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumSet;
@@ -124,9 +127,10 @@
     /**
      * Starts the entry instance; call on the event loop.
      *
-     * @param start what was done first in this process
+     * @param startedAt clocks at the start of this process
+     * @throws IOException if it cannot listen for callers
      */
-    public void start(ProcessStart start, HttpHandler readinessHandler) {
+    public void start(ClockReading startedAt, HttpHandler readinessHandler) throws IOException {
         String self = FleetSettings.linkAddress(settings);
         LinkTransport transport =
                 new LinkTransport(
@@ -141,13 +145,13 @@
                         timers,
                         random,
                         System::currentTimeMillis,
-                        start.clocks(),
+                        startedAt,
                         this);
         PeerLoads loads = new PeerLoads(self, upstreamRegistry, transport, timers);
         entryInstance = entry;
         peerLoads = loads;
         forwarder.setEntryInstance(entry, loads);
-        proxyServer.accept(start.callers());
+        proxyServer.accept(ServerSockets.open(settings.address(SettingKey.FLEET_CALLERS)));
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler)
                 .listen(settings.address(SettingKey.FLEET_READY));
         serveMetrics(entry);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -89,8 +89,12 @@
         }
     }
 
-    /** Closes the connection if no request is in progress and none has come since a time. */
-    void closeIfIdle(long sinceMillis) {
+    /**
+     * Closes the connection if no request is in progress and none has come since a time. Otherwise
+     * it is closed after the response in progress, even if that began as one that keeps it open.
+     */
+    void closeWhenIdle(long sinceMillis) {
+        keepAlive = false;
         if (exchange == null && head == null && lastReadMillis <= sinceMillis) {
             context().close();
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -25,7 +25,7 @@
     private static final int WRITE_LOW_WATER_MARK_BYTES = 32 * 1_024;
 
     /** Idle time after which a connection is closed during a drain. */
-    private static final long MIN_IDLE_MILLIS = 500;
+    private static final long MIN_IDLE_MILLIS = 300;
 
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
 
@@ -77,13 +77,13 @@
     }
 
     /**
-     * Closes the connections that have been idle for some time. One that was accepted or used just
-     * now may have a request on its way.
+     * Closes the connections that have been idle for some time, and the others after the response
+     * in progress. One that was accepted or used just now may have a request on its way.
      */
     public void closeIdleConnections() {
         long nowMillis = forwarder.timers().nowMillis();
         for (CallerConnection connection : new ArrayList<>(connections)) {
-            connection.closeIfIdle(nowMillis - MIN_IDLE_MILLIS);
+            connection.closeWhenIdle(nowMillis - MIN_IDLE_MILLIS);
         }
     }
 
