--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/ServerSockets.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/ServerSockets.java
@@ -44,8 +44,8 @@
     }
 
     /**
-     * Opens a listening socket before there is an event loop. Callers that connect are queued by
-     * the operating system until {@link #accept} is called, instead of being refused.
+     * Opens a listening socket. The operating system queues callers that connect until {@link
+     * #accept} is called.
      *
      * @throws IOException if the address cannot be used
      */
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/link/ServerSocketsTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/link/ServerSocketsTest.java
@@ -41,7 +41,7 @@
     }
 
     @Test
-    void callersThatConnectBeforeTheProgramIsLoadedAreAnswered() throws IOException {
+    void callersThatConnectBeforeTheEventLoopAcceptsAreAnswered() throws IOException {
         EventLoop loop =
                 (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         List<Socket> callers = new ArrayList<>();
