--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceRetirement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceRetirement.java
@@ -5,7 +5,7 @@
  *
  * @param started the clocks of the successor at its start
  * @param leaderWallMillis the leader's wall clock when the successor started, from the age of the
- *     start in the successor's first report, in milliseconds
+ *     start in the successor's reports, in milliseconds
  */
 public record SliceRetirement(String holder, ClockReading started, long leaderWallMillis) {
     /**
