Show who votes, who leads and how many losses are borne

The metrics counted members, not voters, and the loss of the leader was in no log, so a lost quorum could not be told from a slow election. Now: events control.leader.known, control.leader.lost and control.members.changed; gauges jayturn_control_voters, _voters_reachable and _losses_tolerated; the same in jayturn status. No decision changes. Ran the tests of the fleet, the daemon and the pages.

--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
@@ -119,6 +119,23 @@
         return true;
     }
 
+    QuorumStatus quorumStatus() {
+        MemberSet members = node.memberSet();
+        long sinceMillis = timers.nowMillis() - config.electionTimeoutMillis();
+        int reachable = 0;
+        for (Member member : members.list()) {
+            reachable += member.voter() && hasRepliedSince(member.id(), sinceMillis) ? 1 : 0;
+        }
+        return new QuorumStatus(
+                members.voterCount(), members.list().size() - members.voterCount(), reachable);
+    }
+
+    private boolean hasRepliedSince(String id, long sinceMillis) {
+        Progress peer = progressById.get(id);
+        return id.equals(config.id())
+                || (peer != null && peer.matchIndex > 0 && peer.lastReplyMillis >= sinceMillis);
+    }
+
     private boolean hasQuorum(long sinceMillis) {
         Set<String> connected = new HashSet<>();
         connected.add(config.id());
@@ -136,12 +153,7 @@
         long sinceMillis = timers.nowMillis() - config.electionTimeoutMillis();
         List<String> ids = new ArrayList<>();
         for (Member member : node.memberSet().list()) {
-            Progress peer = progressById.get(member.id());
-            boolean self = member.id().equals(config.id());
-            if (self
-                    || (peer != null
-                            && peer.matchIndex > 0
-                            && peer.lastReplyMillis >= sinceMillis)) {
+            if (hasRepliedSince(member.id(), sinceMillis)) {
                 ids.add(member.id());
             }
         }
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/QuorumStatus.java
@@ -0,0 +1,18 @@
+package dev.jayturn.core.consensus;
+
+/**
+ * How many losses a cluster can bear, as its leader sees it.
+ *
+ * @param voters number of members that vote
+ * @param learners number of members that only replicate the log
+ * @param reachableVoters voters that replied within an election timeout, the leader included
+ */
+public record QuorumStatus(int voters, int learners, int reachableVoters) {
+    /**
+     * Returns how many of the reachable voters may be lost while the others remain a majority;
+     * negative if they are none now.
+     */
+    public int toleratedLosses() {
+        return reachableVoters - (voters / 2 + 1);
+    }
+}
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -123,6 +123,11 @@
         return leadership == null ? List.of() : leadership.connectedMembers();
     }
 
+    /** Returns how many losses the cluster can bear now; null if this member is not the leader. */
+    public @Nullable QuorumStatus quorumStatus() {
+        return leadership == null ? null : leadership.quorumStatus();
+    }
+
     /** Appends a command to the log if this member is the leader; otherwise fails it at once. */
     public void propose(Command command, ProposalCallback callback) {
         Leadership leading = leadership;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -69,6 +69,9 @@
     private List<Peer> peers = List.of();
     private List<Peer> candidatePeers = List.of();
     private long candidatesSinceMillis;
+    private final QuorumListener quorumListener;
+    private String lastLeader = "";
+    private List<Member> lastMembers = List.of();
     private boolean pushPending;
     private long lastHeartbeatShareMillis;
 
@@ -85,7 +88,9 @@
             Transport transport,
             TimerService timers,
             WallClock wallClock,
-            RetirementListener retirementListener) {
+            RetirementListener retirementListener,
+            QuorumListener quorumListener) {
+        this.quorumListener = quorumListener;
         this.wallClock = wallClock;
         this.self = self;
         this.epoch = epoch;
@@ -180,6 +185,7 @@
 
     private void tick() {
         long now = timers.nowMillis();
+        reportQuorumChanges();
         adoptStablePeers(now);
         if (raft.isLeader()) {
             sliceCoordinator.plan(entries, liveEntries(), peers, timers.nowMillis());
@@ -191,6 +197,17 @@
         }
     }
 
+    private void reportQuorumChanges() {
+        if (!raft.leader().equals(lastLeader)) {
+            lastLeader = raft.leader();
+            quorumListener.onLeader(lastLeader, raft.term());
+        }
+        if (!raft.members().equals(lastMembers)) {
+            lastMembers = raft.members();
+            quorumListener.onMembers(lastMembers);
+        }
+    }
+
     /**
      * Adopts the list of live entry instances once it has been stable for a while: after a
      * partition the reports come back one by one, and each change of the addresses moves the home
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.consensus.Member;
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
@@ -27,6 +28,19 @@
     private static final int ENTRIES_PER_DATA_CENTRE = 2;
     private static final String ENTRY = "entry-";
 
+    private static final QuorumListener NO_QUORUM_LISTENER =
+            new QuorumListener() {
+                @Override
+                public void onLeader(String leader, long term) {
+                    // The tests ask the members themselves.
+                }
+
+                @Override
+                public void onMembers(List<Member> members) {
+                    // The tests ask the members themselves.
+                }
+            };
+
     final VirtualTime time = new VirtualTime();
     final Random random;
     final VirtualNetwork network;
@@ -133,7 +147,8 @@
                             process,
                             process,
                             time::nowMillis,
-                            (retirement, lease, withinLease) -> {});
+                            (retirement, lease, withinLease) -> {},
+                            NO_QUORUM_LISTENER);
             ControlInstance receiver = instance;
             process.onMessage((to, message) -> receiver.handle(message));
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlComponents.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlComponents.java
@@ -5,6 +5,7 @@
 import dev.jayturn.core.budget.Ledger;
 import dev.jayturn.core.budget.LedgerConfig;
 import dev.jayturn.core.consensus.Member;
+import dev.jayturn.core.consensus.QuorumStatus;
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.control.ControlNode;
@@ -124,6 +125,13 @@
         for (Member member : raft.members()) {
             members.add(member.id() + (member.voter() ? "" : " (learner)"));
         }
+        QuorumStatus quorum = raft.quorumStatus();
+        if (quorum != null) {
+            status.put("voters", quorum.voters());
+            status.put("learners", quorum.learners());
+            status.put("reachableVoters", quorum.reachableVoters());
+            status.put("toleratedLosses", quorum.toleratedLosses());
+        }
     }
 
     @Override
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -4,6 +4,8 @@
 import dev.jayturn.core.configuration.ConfigurationChecker;
 import dev.jayturn.core.configuration.ConfigurationException;
 import dev.jayturn.core.configuration.Customer;
+import dev.jayturn.core.consensus.Member;
+import dev.jayturn.core.consensus.QuorumStatus;
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
@@ -39,6 +41,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -157,7 +160,8 @@
                         transport,
                         timers,
                         System::currentTimeMillis,
-                        this::logRetirement);
+                        this::logRetirement,
+                        new QuorumLog(log));
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
@@ -174,6 +178,13 @@
     private void serveMetrics(RaftNode raft) {
         metrics.registerGauge("jayturn.control.leads", () -> raft.isLeader() ? 1 : 0);
         metrics.registerGauge("jayturn.control.members", () -> raft.members().size());
+        metrics.registerGauge("jayturn.control.voters", () -> voterCount(raft));
+        metrics.registerGauge(
+                "jayturn.control.voters.reachable",
+                () -> leaderValue(raft, QuorumStatus::reachableVoters));
+        metrics.registerGauge(
+                "jayturn.control.losses.tolerated",
+                () -> leaderValue(raft, QuorumStatus::toleratedLosses));
         metrics.registerGauge(
                 "jayturn.configuration.version", () -> fleetState.configuration().version());
         metrics.registerGauge("jayturn.slice.holders", () -> fleetState.slices().holders().size());
@@ -182,6 +193,20 @@
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
     }
 
+    private static int voterCount(RaftNode raft) {
+        int count = 0;
+        for (Member member : raft.members()) {
+            count += member.voter() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Returns a figure that only the leader knows; not a number on other instances. */
+    private static double leaderValue(RaftNode raft, ToIntFunction<QuorumStatus> figure) {
+        QuorumStatus status = raft.quorumStatus();
+        return status == null ? Double.NaN : figure.applyAsInt(status);
+    }
+
     @Override
     public Set<SettingKey> applySettings(Settings changed, Set<SettingKey> keys) {
         if (!keys.contains(SettingKey.FLEET_SEEDS)) {
