--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -27,6 +27,7 @@
 
     private static final int ENTRIES_PER_DATA_CENTRE = 2;
     private static final String ENTRY = "entry-";
+    private static final String FOUNDER_STORE = "founder";
 
     private static final QuorumListener NO_QUORUM_LISTENER =
             new QuorumListener() {
@@ -49,6 +50,7 @@
     final Map<String, Long> spentByCustomer = new HashMap<>();
     final Map<String, Long> refusedCallsByCustomer = new HashMap<>();
     private final int entriesPerDataCentre;
+    private int storeCount;
     private final List<String> controlNames = new ArrayList<>();
 
     VirtualFleet(long seed, int controlCount, int entryCount) {
@@ -64,7 +66,7 @@
         }
         for (String name : controlNames) {
             network.setDataCentre(name, "core");
-            controls.put(name, new VirtualControl(name, true));
+            controls.put(name, new VirtualControl(name, FOUNDER_STORE, true));
         }
         for (int i = 0; i < entryCount; i++) {
             network.setDataCentre(ENTRY + i, dataCentre(i));
@@ -83,6 +85,25 @@
                                 callback));
     }
 
+    /** Starts a control instance with an empty disk at a new address, which becomes a seed. */
+    VirtualControl addControl(String name) {
+        network.setDataCentre(name, "core");
+        controlNames.add(name);
+        VirtualControl added = new VirtualControl(name, newStoreId(), false);
+        controls.put(name, added);
+        return added;
+    }
+
+    /** Ends a control instance for good; its address is no longer a seed. */
+    void removeControl(String name) {
+        controls.remove(name).process.crash();
+        controlNames.remove(name);
+    }
+
+    private String newStoreId() {
+        return "store-" + ++storeCount;
+    }
+
     private String dataCentre(int entry) {
         return "data-centre-" + entry / entriesPerDataCentre;
     }
@@ -91,18 +112,20 @@
         return spentByCustomer.getOrDefault(customer, 0L);
     }
 
-    /** A control instance that can be restarted and keeps its disk. */
+    /** A control instance that can be restarted, with its disk or without it. */
     final class VirtualControl {
         final String name;
-        final VirtualDisk disk;
+        VirtualDisk disk;
+        String storeId;
         VirtualProcess process;
         FleetState state;
         ControlInstance instance;
         RaftNode raft;
         private int starts;
 
-        VirtualControl(String name, boolean isFounder) {
+        VirtualControl(String name, String storeId, boolean isFounder) {
             this.name = name;
+            this.storeId = storeId;
             this.disk = new VirtualDisk(time);
             start(isFounder);
         }
@@ -112,18 +135,25 @@
             start(false);
         }
 
+        /** Replaces the disk of a crashed instance by an empty one; it takes a restart. */
+        void loseDisk() {
+            process.crash();
+            disk = new VirtualDisk(time);
+            storeId = newStoreId();
+        }
+
         private void start(boolean isFounder) {
             process = new VirtualProcess(name, time, network);
             SeededRandom source = new SeededRandom(new Random(random.nextLong()));
             state = new FleetState();
             List<String> founders = new ArrayList<>();
             for (String other : controlNames) {
-                founders.add(other + "#founder");
+                founders.add(other + "#" + FOUNDER_STORE);
             }
             RaftConfig config =
                     new RaftConfig(
-                            name + "#founder",
-                            controlNames,
+                            name + "#" + storeId,
+                            List.copyOf(controlNames),
                             isFounder ? founders : List.of(),
                             500,
                             100,
