--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/RequestProfile.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/RequestProfile.java
@@ -30,6 +30,11 @@
         return parts.get(Math.max(0, parts.size() - 2)).id();
     }
 
+    /** Returns the ids of all parts except the last one. */
+    public List<String> sharedPartIds() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+    }
+
     /** Returns the tokens of all parts except the last one. */
     public long sharedPrefixTokens() {
         long tokens = 0;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -229,6 +229,11 @@
         exchange.onFailure(this, reason);
     }
 
+    /** Returns whether a response to the request began. */
+    boolean hasResponded() {
+        return responseStarted;
+    }
+
     boolean wasSent() {
         return sent;
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -302,7 +302,8 @@
     void onFailure(Attempt failed, Attempt.Failure failure) {
         attempt = null;
         triedIds.add(failed.upstream().heartbeat().id());
-        log.logFailedAttempt(failed.upstream(), failure);
+        log.logFailedAttempt(
+                failed.upstream(), failure, failed.hasResponded(), eventCount(), request.profile());
         switch (failure) {
             case MISDIRECTED:
                 forwarder.upstreams().remove(failed.upstream());
@@ -353,6 +354,11 @@
         }
     }
 
+    private long eventCount() {
+        ServerSentEventScanner currentScanner = scanner;
+        return currentScanner == null ? 0 : currentScanner.eventCount();
+    }
+
     private boolean mayHaveExecuted() {
         return sendCount > notExecutedCount;
     }
@@ -432,7 +438,7 @@
         if (currentAttempt != null) {
             currentAttempt.cancel();
         }
-        long eventCount = scanner == null ? 0 : scanner.eventCount();
+        long eventCount = eventCount();
         TokenReservation reservation = tokenReservation;
         if (reservation != null) {
             reservation.settle(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -80,7 +80,12 @@
         }
     }
 
-    void logFailedAttempt(UpstreamLoad upstream, Attempt.Failure failure) {
+    void logFailedAttempt(
+            UpstreamLoad upstream,
+            Attempt.Failure failure,
+            boolean responded,
+            long eventCount,
+            RequestProfile profile) {
         metrics.recordFailedAttempt(failure.name());
         log.event(
                 "attempt.failed",
@@ -88,6 +93,13 @@
                     json.writeStringField("request", requestId);
                     json.writeStringField("upstream", upstream.heartbeat().id());
                     json.writeStringField("failure", failure.name());
+                    json.writeBooleanField("responded", responded);
+                    json.writeNumberField("events", eventCount);
+                    json.writeArrayFieldStart("parts");
+                    for (String part : profile.sharedPartIds()) {
+                        json.writeString(part);
+                    }
+                    json.writeEndArray();
                 });
     }
 
