Refuse prompts with a part that crashes upstreams

Cause: no decision connected the ends of upstreams with what they were responding to; each request was judged alone.

Now PromptQuarantine blames the parts of a response that ends between its head and its first event, and clears them by any complete response. Three independent ends put a part in quarantine (4013, 503, at once, not run); a request cut off so goes to a second upstream only if its parts have had complete responses. Instances share the evidence through the control instances. Sound neighbours are cleared by their own responses.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -4,6 +4,9 @@
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.directory.UpstreamTable;
+import dev.jayturn.core.quarantine.EvidenceShare;
+import dev.jayturn.core.quarantine.EvidenceSharing;
+import dev.jayturn.core.quarantine.EvidenceTable;
 import dev.jayturn.core.slice.SliceGrant;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.core.timer.WallClock;
@@ -65,6 +68,8 @@
     private final ConfigurationCallHandler configurationCalls;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final SliceCoordinator sliceCoordinator;
+    private final EvidenceTable evidence = new EvidenceTable();
+    private final EvidenceSharing evidenceSharing;
     private final Map<String, EntryInstanceState> entries = new LinkedHashMap<>();
     private List<Peer> peers = List.of();
     private List<Peer> candidatePeers = List.of();
@@ -101,6 +106,8 @@
         this.sliceCoordinator = new SliceCoordinator(raft, state, retirementListener);
         this.configurationCalls =
                 new ConfigurationCallHandler(self, raft, state, transport, timers);
+        this.evidenceSharing =
+                new EvidenceSharing(self, evidence, transport, timers, this::evidenceReceivers);
         state.setListeners(this::schedulePush, this::pushToWaitingEntries);
         timers.every(PLAN_INTERVAL_MILLIS, this::tick);
     }
@@ -117,6 +124,8 @@
             if (changed) {
                 schedulePush();
             }
+        } else if (message instanceof EvidenceShare share) {
+            evidenceSharing.onChanged(evidence.merge(share, timers.nowMillis()));
         } else if (!configurationCalls.handle(message)) {
             raft.handle(message);
         }
@@ -269,6 +278,17 @@
         }
     }
 
+    private List<String> evidenceReceivers() {
+        List<String> receivers = new ArrayList<>(controlAddresses());
+        entries.forEach(
+                (address, entry) -> {
+                    if (isLive(entry)) {
+                        receivers.add(address);
+                    }
+                });
+        return receivers;
+    }
+
     private List<String> controlAddresses() {
         Set<String> addresses = new LinkedHashSet<>();
         for (Member member : raft.members()) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -132,6 +132,11 @@
         }
     }
 
+    /** Returns the addresses of the control instances that get reports. */
+    public List<String> controlAddresses() {
+        return List.copyOf(controls.keySet());
+    }
+
     private ClockReading readClock() {
         return new ClockReading(startedAt.bootId(), timers.nowMillis(), wallClock.wallMillis());
     }
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceShare.java
@@ -0,0 +1,7 @@
+package dev.jayturn.core.quarantine;
+
+import dev.jayturn.core.transport.Message;
+import java.util.List;
+
+/** Evidence on prompt parts that an instance has collected or received; repeats are harmless. */
+public record EvidenceShare(String from, List<PartEvidence> parts) implements Message {}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceSharing.java
@@ -0,0 +1,82 @@
+package dev.jayturn.core.quarantine;
+
+import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.core.transport.Transport;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * Sends evidence to other instances shortly after it has changed, and all that is not cleared again
+ * from time to time, so that instances that start later or missed a message learn it too.
+ */
+public final class EvidenceSharing {
+    private static final long SEND_DELAY_MILLIS = 50;
+    private static final long REPEAT_INTERVAL_MILLIS = 1_500;
+    private static final int MAX_PARTS_OF_A_MESSAGE = 64;
+
+    private final String self;
+    private final EvidenceTable table;
+    private final Transport transport;
+    private final TimerService timers;
+    private final Supplier<? extends Collection<String>> receivers;
+    private final Set<String> changedParts = new LinkedHashSet<>();
+    private boolean sendPending;
+
+    /**
+     * Starts to share the evidence of a table.
+     *
+     * @param receivers addresses of the instances to send to; read each time
+     */
+    public EvidenceSharing(
+            String self,
+            EvidenceTable table,
+            Transport transport,
+            TimerService timers,
+            Supplier<? extends Collection<String>> receivers) {
+        this.self = self;
+        this.table = table;
+        this.transport = transport;
+        this.timers = timers;
+        this.receivers = receivers;
+        timers.every(REPEAT_INTERVAL_MILLIS, this::repeat);
+    }
+
+    /** Schedules a message with the evidence on parts that have changed. */
+    public void onChanged(Collection<String> parts) {
+        changedParts.addAll(parts);
+        if (!sendPending && !changedParts.isEmpty()) {
+            sendPending = true;
+            timers.schedule(SEND_DELAY_MILLIS, this::sendChanged);
+        }
+    }
+
+    private void sendChanged() {
+        sendPending = false;
+        List<String> parts = new ArrayList<>(changedParts);
+        changedParts.clear();
+        send(parts);
+    }
+
+    private void repeat() {
+        table.removeExpired(timers.nowMillis());
+        send(table.suspectParts());
+    }
+
+    private void send(List<String> parts) {
+        List<String> sent = parts.subList(0, Math.min(parts.size(), MAX_PARTS_OF_A_MESSAGE));
+        List<PartEvidence> evidence = table.evidence(sent, timers.nowMillis());
+        if (evidence.isEmpty()) {
+            return;
+        }
+        EvidenceShare share = new EvidenceShare(self, evidence);
+        for (String receiver : receivers.get()) {
+            if (!receiver.equals(self)) {
+                transport.send(receiver, share);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/PromptQuarantine.java
@@ -0,0 +1,189 @@
+package dev.jayturn.core.quarantine;
+
+import dev.jayturn.core.timer.TimerService;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Decides on an entry instance which prompts are refused because they contain a part that makes
+ * upstreams crash.
+ *
+ * <p>Answers this pattern: requests with one part in common, otherwise all different, reach all
+ * instances; each ends the upstream that begins to respond to it, and with it the responses to
+ * sound requests, some of which share its other parts. A part is blamed if an upstream ends after
+ * the head of a response and before its first event; requests that wait or have had events are
+ * bystanders. A complete response to any prompt with the part clears it. So a part that many sound
+ * prompts share is cleared within moments, and one that only crashes upstreams never is.
+ */
+public final class PromptQuarantine {
+    /** After a quarantine has ended, one request with the part is sent in this time. */
+    private static final long PROBE_INTERVAL_MILLIS = 10_000;
+
+    private static final int MAX_COMPLETED_PARTS = 8_192;
+
+    private final TimerService timers;
+    private final EvidenceTable table;
+    private final QuarantineListener listener;
+    private final Map<String, Long> probeMillis = new HashMap<>();
+
+    /** Times of the last complete response by part, the least recent one first. */
+    private final Map<String, Long> completedMillis = new LinkedHashMap<>(64, 0.75f, true);
+
+    private Set<String> condemned = new HashSet<>();
+    private Set<String> trustedParts = Set.of();
+    private Consumer<Collection<String>> sharing = parts -> {};
+
+    public PromptQuarantine(TimerService timers, EvidenceTable table, QuarantineListener listener) {
+        this.timers = timers;
+        this.table = table;
+        this.listener = listener;
+    }
+
+    /** Sets the receiver of the parts on which this instance has found evidence itself. */
+    public void setSharing(Consumer<Collection<String>> receiver) {
+        sharing = receiver;
+    }
+
+    /** Sets the parts that are never refused, whatever the evidence. */
+    public void setTrustedParts(Collection<String> parts) {
+        trustedParts = Set.copyOf(parts);
+    }
+
+    /**
+     * Decides whether a request is refused.
+     *
+     * @param parts ids of the parts that other prompts may share
+     * @return the time after which a retry may be admitted; 0 if the request is admitted
+     */
+    public long refusalMillis(List<String> parts) {
+        if (condemned.isEmpty()) {
+            return 0;
+        }
+        long longest = 0;
+        for (String part : parts) {
+            if (condemned.contains(part)) {
+                longest = Math.max(longest, refusalMillis(part));
+            }
+        }
+        return longest;
+    }
+
+    /**
+     * Records that a request is sent; after a quarantine has ended, it is the probe of its part.
+     */
+    public void onSent(List<String> parts) {
+        if (!condemned.isEmpty()) {
+            long now = timers.nowMillis();
+            parts.stream().filter(condemned::contains).forEach(part -> probeMillis.put(part, now));
+        }
+    }
+
+    private long refusalMillis(String part) {
+        if (!table.isCondemned(part) || trustedParts.contains(part)) {
+            return 0;
+        }
+        long now = timers.nowMillis();
+        long quarantine = table.remainingQuarantineMillis(part, now);
+        Long lastProbe = probeMillis.get(part);
+        long untilProbe = lastProbe == null ? 0 : lastProbe + PROBE_INTERVAL_MILLIS - now;
+        return Math.max(quarantine, untilProbe);
+    }
+
+    /**
+     * Returns whether a request that ended with its upstream before its first event may be sent to
+     * another one: only if each part has had a complete response and is not blamed for more ends.
+     */
+    public boolean isRetryAllowed(List<String> parts) {
+        for (String part : parts) {
+            if (!completedMillis.containsKey(part) || table.countIndependentEnds(part) > 1) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Records a complete and successful response. */
+    public void onCompleted(List<String> parts) {
+        long now = timers.nowMillis();
+        Set<String> changed = new HashSet<>();
+        for (String part : parts) {
+            completedMillis.put(part, now);
+            if (table.clearUntil(part, now)) {
+                changed.add(part);
+            }
+        }
+        if (completedMillis.size() > MAX_COMPLETED_PARTS) {
+            completedMillis.remove(completedMillis.keySet().iterator().next());
+        }
+        publish(changed);
+    }
+
+    /**
+     * Records that an upstream ended, or broke the connection, after the head of a response and
+     * before its first event.
+     *
+     * @param upstream id and incarnation of the upstream
+     */
+    public void onCutOff(List<String> parts, String upstream) {
+        boolean explained = parts.stream().anyMatch(condemned::contains);
+        Set<String> changed = new HashSet<>();
+        for (String part : parts) {
+            // A part that is condemned already explains the end; the others are bystanders.
+            if ((!explained || condemned.contains(part))
+                    && table.addEnd(part, upstream, timers.nowMillis())) {
+                changed.add(part);
+            }
+        }
+        publish(changed);
+    }
+
+    private void publish(Set<String> changed) {
+        if (!changed.isEmpty()) {
+            updateCondemned();
+            sharing.accept(changed);
+        }
+    }
+
+    /** Applies the evidence of other instances. */
+    public void onShare(EvidenceShare share) {
+        Set<String> changed = table.merge(share, timers.nowMillis());
+        Set<String> cleared = new HashSet<>();
+        for (String part : changed) {
+            Long completed = completedMillis.get(part);
+            if (completed != null && table.clearUntil(part, completed)) {
+                cleared.add(part);
+            }
+        }
+        if (!changed.isEmpty()) {
+            updateCondemned();
+        }
+        publish(cleared);
+    }
+
+    private void updateCondemned() {
+        Set<String> current = table.condemnedParts();
+        for (String part : current) {
+            if (!condemned.contains(part)) {
+                listener.onQuarantined(part, table.countIndependentEnds(part));
+            }
+        }
+        for (String part : condemned) {
+            if (!current.contains(part)) {
+                probeMillis.remove(part);
+                listener.onReleased(part);
+            }
+        }
+        condemned = current;
+    }
+
+    /** Returns the number of parts that are in quarantine or on probation. */
+    public int quarantinedParts() {
+        return condemned.size();
+    }
+}
--- a/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
@@ -32,6 +32,7 @@
     INTENT_CLOSED(4010, 409, "the request was settled already"),
     UPSTREAM_DECLINED(4011, 503, "the upstream did not run the request"),
     UPSTREAMS_PAUSED(4012, 503, "every upstream of this service asked for a pause"),
+    PROMPT_QUARANTINED(4013, 503, "upstreams crash when they respond to a part of this prompt"),
     CLAIM_IN_PROGRESS(5001, 409, "a call with this key is in progress"),
     OUTCOME_UNKNOWN(5002, 409, "whether the call ran is not known"),
     OUTCOME_RECORDED(5004, 200, "the call ran before; this is its recorded answer"),
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -4,8 +4,14 @@
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.quarantine.EvidenceShare;
+import dev.jayturn.core.quarantine.EvidenceSharing;
+import dev.jayturn.core.quarantine.EvidenceTable;
+import dev.jayturn.core.quarantine.PromptQuarantine;
+import dev.jayturn.core.quarantine.QuarantineListener;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceAccounts;
+import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.virtual.SeededRandom;
 import dev.jayturn.core.virtual.VirtualDisk;
 import dev.jayturn.core.virtual.VirtualNetwork;
@@ -42,6 +48,19 @@
                 }
             };
 
+    private static final QuarantineListener NO_QUARANTINE_LISTENER =
+            new QuarantineListener() {
+                @Override
+                public void onQuarantined(String part, int ends) {
+                    // The tests ask the quarantine itself.
+                }
+
+                @Override
+                public void onReleased(String part) {
+                    // The tests ask the quarantine itself.
+                }
+            };
+
     final VirtualTime time = new VirtualTime();
     final Random random;
     final VirtualNetwork network;
@@ -189,6 +208,7 @@
         final String name;
         final VirtualProcess process;
         final EntryInstance instance;
+        final PromptQuarantine quarantine;
         long configurationVersion;
         final List<Heartbeat> upstreamHeartbeats = new ArrayList<>();
         private final List<Call> waiting = new ArrayList<>();
@@ -215,7 +235,21 @@
                             time::nowMillis,
                             startedAt,
                             this);
-            process.onMessage((to, message) -> instance.handle(message));
+            EvidenceTable evidence = new EvidenceTable();
+            quarantine = new PromptQuarantine(process, evidence, NO_QUARANTINE_LISTENER);
+            EvidenceSharing sharing =
+                    new EvidenceSharing(
+                            name, evidence, process, process, instance::controlAddresses);
+            quarantine.setSharing(sharing::onChanged);
+            process.onMessage((to, message) -> receive(message));
+        }
+
+        private void receive(Message message) {
+            if (message instanceof EvidenceShare share) {
+                quarantine.onShare(share);
+            } else {
+                instance.handle(message);
+            }
         }
 
         /** Makes a call that reserves tokens and spends all of them. */
--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,142 @@
+package dev.jayturn.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.core.virtual.VirtualNetwork;
+import dev.jayturn.core.virtual.VirtualProcess;
+import dev.jayturn.core.virtual.VirtualTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class PromptQuarantineTest {
+    private static final List<String> CRASHING = List.of("a", "b", "bad");
+    private static final List<String> SOUND = List.of("a", "b", "c");
+
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualProcess process =
+            new VirtualProcess("entry", time, new VirtualNetwork(time, new Random(1)));
+    private final List<String> quarantined = new ArrayList<>();
+    private final List<String> released = new ArrayList<>();
+    private final PromptQuarantine quarantine =
+            new PromptQuarantine(
+                    process,
+                    new EvidenceTable(),
+                    new QuarantineListener() {
+                        @Override
+                        public void onQuarantined(String part, int ends) {
+                            quarantined.add(part);
+                        }
+
+                        @Override
+                        public void onReleased(String part) {
+                            released.add(part);
+                        }
+                    });
+
+    private void crash(List<String> parts, String upstream) {
+        quarantine.onCutOff(parts, upstream);
+        time.runFor(500);
+    }
+
+    private void crashThreeTimes() {
+        for (int i = 0; i < 3; i++) {
+            crash(CRASHING, "u" + i);
+            quarantine.onCompleted(SOUND);
+        }
+    }
+
+    @Test
+    void partThatCrashesThreeUpstreamsIsRefusedAndItsNeighboursAreNot() {
+        crashThreeTimes();
+        assertThat(quarantined).containsExactly("bad");
+        assertThat(quarantine.refusalMillis(List.of("other", "bad"))).isPositive();
+        assertThat(quarantine.refusalMillis(SOUND)).isZero();
+    }
+
+    @Test
+    void completeResponseBetweenCrashesClearsAPart() {
+        crash(CRASHING, "u0");
+        crash(CRASHING, "u1");
+        quarantine.onCompleted(CRASHING);
+        crash(CRASHING, "u2");
+        assertThat(quarantine.refusalMillis(CRASHING)).isZero();
+    }
+
+    @Test
+    void upstreamsThatEndTogetherCountOnce() {
+        for (int i = 0; i < 10; i++) {
+            quarantine.onCutOff(CRASHING, "u" + i);
+        }
+        assertThat(quarantine.refusalMillis(CRASHING)).isZero();
+    }
+
+    @Test
+    void repeatedBreaksOfOneUpstreamCountOnce() {
+        for (int i = 0; i < 10; i++) {
+            crash(CRASHING, "u0");
+        }
+        assertThat(quarantine.refusalMillis(CRASHING)).isZero();
+    }
+
+    @Test
+    void requestThatWasCutOffIsNotSentAgainBeforeItsPartsHaveHadCompleteResponses() {
+        assertThat(quarantine.isRetryAllowed(SOUND)).isFalse();
+        quarantine.onCompleted(SOUND);
+        crash(CRASHING, "u0");
+        assertThat(quarantine.isRetryAllowed(SOUND)).isTrue();
+        assertThat(quarantine.isRetryAllowed(CRASHING)).isFalse();
+    }
+
+    @Test
+    void quarantineEndsWithOneProbeAtATime() {
+        crashThreeTimes();
+        time.runFor(EvidenceTable.QUARANTINE_MILLIS);
+        assertThat(quarantine.refusalMillis(CRASHING)).isZero();
+        quarantine.onSent(CRASHING);
+        assertThat(quarantine.refusalMillis(CRASHING)).isPositive();
+        crash(CRASHING, "u3");
+        assertThat(quarantine.refusalMillis(CRASHING))
+                .isGreaterThan(EvidenceTable.QUARANTINE_MILLIS / 2);
+    }
+
+    @Test
+    void probeThatIsAnsweredReleasesThePart() {
+        crashThreeTimes();
+        time.runFor(EvidenceTable.QUARANTINE_MILLIS);
+        quarantine.onSent(CRASHING);
+        quarantine.onCompleted(CRASHING);
+        assertThat(released).containsExactly("bad");
+        assertThat(quarantine.refusalMillis(CRASHING)).isZero();
+    }
+
+    @Test
+    void partThatAnOperatorTrustsIsNotRefused() {
+        crashThreeTimes();
+        quarantine.setTrustedParts(List.of("bad"));
+        assertThat(quarantine.refusalMillis(CRASHING)).isZero();
+    }
+
+    @Test
+    void laterCrashesAreBlamedOnThePartThatIsInQuarantineAlready() {
+        crashThreeTimes();
+        for (int i = 3; i < 9; i++) {
+            crash(List.of("bad", "rare"), "u" + i);
+        }
+        assertThat(quarantine.refusalMillis(List.of("rare"))).isZero();
+    }
+
+    @Test
+    void evidenceOfManyPartsIsBoundedAndKeepsThoseInQuarantine() {
+        EvidenceTable table = new EvidenceTable();
+        for (int i = 0; i < 3; i++) {
+            table.addEnd("bad", "u" + i, 1_000L * i);
+        }
+        for (int i = 0; i < 5_000; i++) {
+            table.addEnd("part" + i, "u", 10_000);
+        }
+        assertThat(table.isCondemned("bad")).isTrue();
+        assertThat(table.suspectParts()).hasSizeLessThanOrEqualTo(1_000);
+    }
+}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -16,6 +16,11 @@
 import dev.jayturn.core.fleet.FleetListener;
 import dev.jayturn.core.fleet.Peer;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.quarantine.EvidenceShare;
+import dev.jayturn.core.quarantine.EvidenceSharing;
+import dev.jayturn.core.quarantine.EvidenceTable;
+import dev.jayturn.core.quarantine.PromptQuarantine;
+import dev.jayturn.core.quarantine.QuarantineListener;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
@@ -45,7 +50,7 @@
  * Runs an entry instance, which forwards callers' requests to upstreams according to the
  * configuration, heartbeats and slices received from control instances.
  */
-public final class EntryProcess implements FleetListener, FleetProcess {
+public final class EntryProcess implements FleetListener, FleetProcess, QuarantineListener {
     /** Time for the balancer to notice that the instance is not ready: two one-second checks. */
     private static final long BALANCER_NOTICE_MILLIS = 2_500;
 
@@ -79,6 +84,8 @@
     private final RandomSource random = new ThreadLocalRandomSource();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final LinkLimiter linkLimiter;
+    private final EvidenceTable evidence = new EvidenceTable();
+    private final PromptQuarantine quarantine;
     private final UpstreamRegistry upstreamRegistry = new UpstreamRegistry(this::kvCacheTokens);
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
@@ -95,6 +102,7 @@
         this.codec = codec;
         this.log = log;
         this.timers = new EventLoopTimers(loop);
+        this.quarantine = new PromptQuarantine(timers, evidence, this);
         this.linkLimiter =
                 new LinkLimiter(timers, settings.decimal(SettingKey.FLEET_LINK_CAPACITY));
         Dispatcher dispatcher =
@@ -113,6 +121,7 @@
                         linkLimiter,
                         upstreamRegistry,
                         dispatcher,
+                        quarantine,
                         retryBounds(settings));
         this.proxyServer = new ProxyServer(loop, forwarder);
     }
@@ -151,6 +160,10 @@
         entryInstance = entry;
         peerLoads = loads;
         forwarder.setEntryInstance(entry, loads);
+        EvidenceSharing evidenceSharing =
+                new EvidenceSharing(self, evidence, transport, timers, entry::controlAddresses);
+        quarantine.setSharing(evidenceSharing::onChanged);
+        quarantine.setTrustedParts(settings.list(SettingKey.FLEET_TRUSTED_PARTS));
         proxyServer.accept(ServerSockets.open(settings.address(SettingKey.FLEET_CALLERS)));
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler)
                 .listen(settings.address(SettingKey.FLEET_READY));
@@ -164,6 +177,7 @@
         metrics.registerGauge("jayturn.link.sent.share", linkLimiter::sentShare);
         metrics.registerGauge("jayturn.link.received.share", linkLimiter::receivedShare);
         metrics.registerGauge("jayturn.upstreams", () -> upstreamRegistry.all().size());
+        metrics.registerGauge("jayturn.parts.quarantined", quarantine::quarantinedParts);
         metrics.registerGauge("jayturn.instances", entry::entryCount);
         metrics.registerGauge("jayturn.control.in.touch", () -> entry.isLeaderReachable() ? 1 : 0);
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
@@ -180,6 +194,10 @@
             entry.setSeeds(FleetSettings.seedAddresses(changed));
             applied.add(SettingKey.FLEET_SEEDS);
         }
+        if (keys.contains(SettingKey.FLEET_TRUSTED_PARTS)) {
+            quarantine.setTrustedParts(changed.list(SettingKey.FLEET_TRUSTED_PARTS));
+            applied.add(SettingKey.FLEET_TRUSTED_PARTS);
+        }
         if (!Collections.disjoint(keys, RETRY_KEYS)) {
             forwarder.setRetryBounds(retryBounds(changed));
             applied.addAll(RETRY_KEYS);
@@ -193,11 +211,28 @@
         PeerLoads loads = peerLoads;
         if (loads != null && message instanceof LoadShare share) {
             loads.onShare(share);
+        } else if (message instanceof EvidenceShare share) {
+            quarantine.onShare(share);
         } else if (entry != null) {
             entry.handle(message);
         }
     }
 
+    @Override
+    public void onQuarantined(String part, int ends) {
+        log.event(
+                "prompt.quarantined",
+                json -> {
+                    json.writeStringField("part", part);
+                    json.writeNumberField("ends", ends);
+                });
+    }
+
+    @Override
+    public void onReleased(String part) {
+        log.event("prompt.released", json -> json.writeStringField("part", part));
+    }
+
     @Override
     public void onPeers(List<Peer> peers) {
         PeerLoads loads = peerLoads;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -1,5 +1,6 @@
 package dev.jayturn.daemon.proxy;
 
+import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.dispatch.RequestProfile;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.result.ResultCode;
@@ -16,6 +17,7 @@
 final class Attempt implements UpstreamListener {
     private final Exchange exchange;
     private final UpstreamLoad upstream;
+    private final RequestProfile profile;
     private final Forwarder forwarder;
     private final TimerService timers;
     private final HeaderCodec codec;
@@ -27,6 +29,8 @@
     private boolean responseStarted;
     private boolean ended;
     private boolean successStatus;
+    private boolean cutOffBeforeAnEvent;
+    private long eventsAtStart;
 
     /** Why an attempt gave no response that the caller can get. */
     enum Failure {
@@ -60,6 +64,7 @@
     Attempt(Exchange exchange, UpstreamLoad upstream, RequestProfile profile, Forwarder forwarder) {
         this.exchange = exchange;
         this.upstream = upstream;
+        this.profile = profile;
         this.forwarder = forwarder;
         this.timers = forwarder.timers();
         this.codec = forwarder.codec();
@@ -154,6 +159,7 @@
             return;
         }
         responseStarted = true;
+        eventsAtStart = exchange.eventCount();
         upstream.firstEventReceived(uncachedTokens, elapsedMillis(), noOtherPromptWaiting);
         forwarder.onLoadChange();
         exchange.onResponseHead(response, successStatus);
@@ -203,11 +209,13 @@
         }
         recordEnd();
         if (exchange.hasPartialEvent()) {
+            recordCutOff();
             reportFailure(Failure.BROKEN);
             return;
         }
         if (successStatus) {
             upstream.requestSucceeded(elapsedMillis());
+            forwarder.quarantine().onCompleted(profile.sharedPartIds());
         } else {
             upstream.requestFailed();
         }
@@ -218,10 +226,29 @@
     public void onResponseIncomplete() {
         if (!ended) {
             recordEnd();
+            recordCutOff();
             reportFailure(Failure.BROKEN);
         }
     }
 
+    private void recordCutOff() {
+        cutOffBeforeAnEvent =
+                responseStarted && successStatus && exchange.eventCount() == eventsAtStart;
+        if (cutOffBeforeAnEvent) {
+            Heartbeat heartbeat = upstream.heartbeat();
+            forwarder
+                    .quarantine()
+                    .onCutOff(
+                            profile.sharedPartIds(),
+                            heartbeat.id() + '/' + heartbeat.incarnation());
+        }
+    }
+
+    /** Returns whether the response ended after its head and before its first event. */
+    boolean wasCutOffBeforeAnEvent() {
+        return cutOffBeforeAnEvent;
+    }
+
     private void reportFailure(Failure reason) {
         if (reason != Failure.MISDIRECTED) {
             upstream.requestFailed();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -137,6 +137,9 @@
             priority = matchedCustomer.priority() * ROUTE_PRIORITIES + matchedRoute.priority();
         }
         service = table.findService(ServiceSelector.select(matchedRoute, forwarder.random()));
+        if (isQuarantined()) {
+            return;
+        }
         boolean isStream = request.profile().promptTokens() > 0;
         if (!forwarder.linkLimiter().hasCapacity(isStream)) {
             log.logLinkFull(forwarder.linkLimiter());
@@ -194,6 +197,10 @@
             fail(ResultCode.NO_UPSTREAM, DEFAULT_RETRY_AFTER_MILLIS);
             return;
         }
+        // The verdict may have come while the request waited or was at another upstream.
+        if (isQuarantined()) {
+            return;
+        }
         long nowMillis = forwarder.timers().nowMillis();
         Dispatcher.Query query =
                 new Dispatcher.Query(
@@ -209,6 +216,7 @@
             fail(decision.code(), decision.retryAfterMillis());
             return;
         }
+        forwarder.quarantine().onSent(request.profile().sharedPartIds());
         log.logPlacement(decision, upstream, request.profile());
         Attempt next = new Attempt(this, upstream, request.profile(), forwarder);
         attempt = next;
@@ -218,6 +226,16 @@
                 .send(upstreamRequest(upstream), request.id(), next, next::onConnection);
     }
 
+    /** Fails the request if a part of its prompt is in quarantine. */
+    private boolean isQuarantined() {
+        long refusalMillis =
+                forwarder.quarantine().refusalMillis(request.profile().sharedPartIds());
+        if (refusalMillis > 0) {
+            fail(ResultCode.PROMPT_QUARANTINED, refusalMillis);
+        }
+        return refusalMillis > 0;
+    }
+
     private FullHttpRequest upstreamRequest(UpstreamLoad upstream) {
         ServerSentEventScanner currentScanner = scanner;
         UpstreamRequestMetadata metadata =
@@ -325,12 +343,20 @@
                 break;
             default:
                 discardPartialEvent();
-                boolean retryable = failed.wasSent() && (!headSent || hasStreamStarted());
+                boolean retryable =
+                        failed.wasSent()
+                                && (!headSent || hasStreamStarted())
+                                && isRetryAfterCutOffAllowed(failed);
                 retryOrFail(failure, retryable && tryAcquireRetry());
                 break;
         }
     }
 
+    private boolean isRetryAfterCutOffAllowed(Attempt failed) {
+        return !failed.wasCutOffBeforeAnEvent()
+                || forwarder.quarantine().isRetryAllowed(request.profile().sharedPartIds());
+    }
+
     private void discardPartialEvent() {
         ServerSentEventScanner currentScanner = scanner;
         if (currentScanner != null) {
@@ -354,7 +380,7 @@
         }
     }
 
-    private long eventCount() {
+    long eventCount() {
         ServerSentEventScanner currentScanner = scanner;
         return currentScanner == null ? 0 : currentScanner.eventCount();
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -10,6 +10,7 @@
 import dev.jayturn.core.dispatch.UpstreamRegistry;
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.quarantine.PromptQuarantine;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.retry.SharedRetryBudget;
 import dev.jayturn.core.timer.TimerService;
@@ -42,6 +43,7 @@
     private RetryBounds retryBounds;
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final TokenWaitQueue tokenWaitQueue = new TokenWaitQueue();
+    private final PromptQuarantine quarantine;
     private final StartupQueue startupQueue = new StartupQueue();
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
@@ -68,6 +70,7 @@
             LinkLimiter linkLimiter,
             UpstreamRegistry upstreams,
             Dispatcher dispatcher,
+            PromptQuarantine quarantine,
             RetryBounds retryBounds) {
         this.timers = timers;
         this.codec = codec;
@@ -79,6 +82,7 @@
         this.upstreams = upstreams;
         this.dispatcher = dispatcher;
         this.pools = new UpstreamConnectionPools(loop, timers, codec, linkMeter);
+        this.quarantine = quarantine;
         this.retryBounds = retryBounds;
     }
 
@@ -147,6 +151,10 @@
         return startupQueue;
     }
 
+    PromptQuarantine quarantine() {
+        return quarantine;
+    }
+
     TokenWaitQueue tokenWaitQueue() {
         return tokenWaitQueue;
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
@@ -64,6 +64,14 @@
     FLEET_RETRY_SLACK(
             "fleet", "retry-slack", Type.DECIMAL, "50", 0, 1000000, "retries beside the ratio"),
     FLEET_RETRY_WINDOW("fleet", "retry-window", Type.DECIMAL, "10", 1, 600, "seconds"),
+    FLEET_TRUSTED_PARTS(
+            "fleet",
+            "trusted-parts",
+            Type.LIST,
+            "",
+            0,
+            0,
+            "ids of prompt parts that are never refused as crashing upstreams"),
     METRICS_LISTEN(
             "metrics", "listen", Type.ADDRESS, "127.0.0.1:8088", 0, 0, "IP:port, path /metrics"),
     LOG_LINES_PER_SECOND(
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -79,6 +79,9 @@
 import dev.jayturn.core.membership.HubStatus;
 import dev.jayturn.core.membership.MembersUpdate;
 import dev.jayturn.core.membership.Subscribe;
+import dev.jayturn.core.quarantine.EvidenceShare;
+import dev.jayturn.core.quarantine.PartEvidence;
+import dev.jayturn.core.quarantine.UpstreamEnd;
 import dev.jayturn.core.rules.RulesUpdate;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.ConsumedStored;
@@ -181,6 +184,7 @@
                     TokenGive.class,
                     LeaseStored.class,
                     LoadShare.class,
+                    EvidenceShare.class,
                     Subscribe.class);
 
     /**
@@ -198,6 +202,8 @@
                     SliceReturn.class,
                     SliceTotals.class,
                     UpstreamWork.class,
+                    PartEvidence.class,
+                    UpstreamEnd.class,
                     Heartbeat.class,
                     Peer.class);
 
