Pass on blank lines between events instead of taking them for a partial event

A stream with a blank line before, between or after its events was held to have been broken off: callers got a cut connection for a whole stream. Cause: the scanner kept a blank line in its buffer as the start of an event.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServerSentEventScanner.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServerSentEventScanner.java
@@ -26,6 +26,9 @@
 
     private boolean blankLine = true;
 
+    /** Whether a line of the incomplete event was scanned. */
+    private boolean insideEvent;
+
     ServerSentEventScanner(ByteBufAllocator allocator, String lastId) {
         this.buffer = allocator.heapBuffer();
         this.lastId = lastId;
@@ -57,10 +60,14 @@
                 continue;
             }
             if (!blankLine) {
+                insideEvent = true;
                 parseLine(start + lineOffset, offset - lineOffset);
-            } else if (offset > completeBytes) {
+            } else {
+                // A blank line outside an event is passed on as it is.
                 completeBytes = offset + 1;
-                completeEvent();
+                if (insideEvent) {
+                    completeEvent();
+                }
             }
             lineOffset = offset + 1;
             blankLine = true;
@@ -73,6 +80,7 @@
     }
 
     private void completeEvent() {
+        insideEvent = false;
         eventCount++;
         if (!pendingId.isEmpty()) {
             lastId = pendingId;
@@ -106,6 +114,7 @@
         scannedBytes = 0;
         lineOffset = 0;
         blankLine = true;
+        insideEvent = false;
     }
 
     void release() {
