Take an empty stream that ends with its connection for broken off

A stream without a length and without chunks whose upstream crashed right after the head reached its caller as a complete, empty stream, and the crash was no evidence against the prompt. Cause: without framing the end of the connection is the end of the body, and only a partial event showed a break. Now such a stream needs an event, unless it resumes another one.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -208,7 +208,7 @@
             return;
         }
         recordEnd();
-        if (exchange.hasPartialEvent()) {
+        if (exchange.hasPartialEvent() || isEmptyCloseDelimitedStream()) {
             recordCutOff();
             reportFailure(Failure.BROKEN);
             return;
@@ -231,6 +231,14 @@
         }
     }
 
+    /** An upstream that crashes right after the head ends its connections like a whole response. */
+    private boolean isEmptyCloseDelimitedStream() {
+        UpstreamConnection currentConnection = connection;
+        return currentConnection != null
+                && currentConnection.isCloseDelimited()
+                && exchange.isStreamWithoutEvents();
+    }
+
     private void recordCutOff() {
         cutOffBeforeAnEvent =
                 responseStarted && successStatus && exchange.eventCount() == eventsAtStart;
@@ -244,9 +252,10 @@
         }
     }
 
-    /** Returns whether the response ended after its head and before its first event. */
-    boolean wasCutOffBeforeAnEvent() {
-        return cutOffBeforeAnEvent;
+    /** Returns whether another upstream may get the request without a risk that it crashes too. */
+    boolean isRetryAllowed() {
+        return !cutOffBeforeAnEvent
+                || forwarder.quarantine().isRetryAllowed(profile.sharedPartIds());
     }
 
     private void reportFailure(Failure reason) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -273,6 +273,11 @@
         return currentScanner != null && currentScanner.hasPartialEvent();
     }
 
+    /** Returns whether a new stream, not a resumed one, has had no event so far. */
+    boolean isStreamWithoutEvents() {
+        return scanner != null && eventCount() == 0 && request.lastEventId().isEmpty();
+    }
+
     /**
      * Called with the head of a response that the caller gets. The head is not sent again if the
      * response resumes a stream.
@@ -346,17 +351,12 @@
                 boolean retryable =
                         failed.wasSent()
                                 && (!headSent || hasStreamStarted())
-                                && isRetryAfterCutOffAllowed(failed);
+                                && failed.isRetryAllowed();
                 retryOrFail(failure, retryable && tryAcquireRetry());
                 break;
         }
     }
 
-    private boolean isRetryAfterCutOffAllowed(Attempt failed) {
-        return !failed.wasCutOffBeforeAnEvent()
-                || forwarder.quarantine().isRetryAllowed(request.profile().sharedPartIds());
-    }
-
     private void discardPartialEvent() {
         ServerSentEventScanner currentScanner = scanner;
         if (currentScanner != null) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -55,6 +55,7 @@
     private int skippedBytes;
     private @Nullable Cancellable discardTimer;
     private boolean keepAlive;
+    private boolean closeDelimited;
     private boolean connectionFailed;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
@@ -71,6 +72,11 @@
         return channel;
     }
 
+    /** Returns whether only the end of the connection ends the body of the current response. */
+    boolean isCloseDelimited() {
+        return closeDelimited;
+    }
+
     void setIdleSince(long nowMillis) {
         idleSinceMillis = nowMillis;
     }
@@ -172,6 +178,7 @@
         boolean framed =
                 HttpUtil.isTransferEncodingChunked(response)
                         || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        closeDelimited = !framed;
         keepAlive = framed && HttpUtil.isKeepAlive(response);
         readKeepAliveTimeout(response);
         responseListener.onResponseHead(response);
