Bound what a quarantine remembers, and send all evidence on many parts

A prompt of hundreds of parts could add more parts to the memory of complete responses than each response removed, and evidence on more than 64 parts at once was cut to 64 with nothing sent later, so that clears could be lost. Found by reading. Both tests in PromptQuarantineTest failed before (12 run, 2 failed).

--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceSharing.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceSharing.java
@@ -2,12 +2,12 @@
 
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.core.transport.Transport;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Sends evidence to other instances shortly after it has changed, and all that is not cleared again
@@ -56,19 +56,21 @@
 
     private void sendChanged() {
         sendPending = false;
-        List<String> parts = new ArrayList<>(changedParts);
-        changedParts.clear();
+        List<String> parts =
+                changedParts.stream().limit(MAX_PARTS_OF_A_MESSAGE).collect(Collectors.toList());
+        parts.forEach(changedParts::remove);
         send(parts);
+        onChanged(List.of());
     }
 
     private void repeat() {
         table.removeExpired(timers.nowMillis());
-        send(table.suspectParts());
+        List<String> suspects = table.suspectParts();
+        send(suspects.subList(0, Math.min(suspects.size(), MAX_PARTS_OF_A_MESSAGE)));
     }
 
     private void send(List<String> parts) {
-        List<String> sent = parts.subList(0, Math.min(parts.size(), MAX_PARTS_OF_A_MESSAGE));
-        List<PartEvidence> evidence = table.evidence(sent, timers.nowMillis());
+        List<PartEvidence> evidence = table.evidence(parts, timers.nowMillis());
         if (evidence.isEmpty()) {
             return;
         }
--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/PromptQuarantine.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/PromptQuarantine.java
@@ -25,7 +25,7 @@
     /** After a quarantine has ended, one request with the part is sent in this time. */
     private static final long PROBE_INTERVAL_MILLIS = 10_000;
 
-    private static final int MAX_COMPLETED_PARTS = 8_192;
+    static final int MAX_COMPLETED_PARTS = 8_192;
 
     private final TimerService timers;
     private final EvidenceTable table;
@@ -114,13 +114,13 @@
         Set<String> changed = new HashSet<>();
         for (String part : parts) {
             completedMillis.put(part, now);
+            if (completedMillis.size() > MAX_COMPLETED_PARTS) {
+                completedMillis.remove(completedMillis.keySet().iterator().next());
+            }
             if (table.clearUntil(part, now)) {
                 changed.add(part);
             }
         }
-        if (completedMillis.size() > MAX_COMPLETED_PARTS) {
-            completedMillis.remove(completedMillis.keySet().iterator().next());
-        }
         publish(changed);
     }
 
@@ -182,6 +182,11 @@
         condemned = current;
     }
 
+    /** Returns the number of parts whose last complete response is remembered. */
+    int rememberedParts() {
+        return completedMillis.size();
+    }
+
     /** Returns the number of parts that are in quarantine or on probation. */
     public int quarantinedParts() {
         return condemned.size();
--- a/jayturn-core/src/test/java/dev/jayturn/core/quarantine/PromptQuarantineTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/quarantine/PromptQuarantineTest.java
@@ -127,6 +127,40 @@
         assertThat(quarantine.refusalMillis(List.of("rare"))).isZero();
     }
 
+    @Test
+    void completeResponsesToPromptsOfManyPartsAreRememberedUpToABound() {
+        for (int i = 0; i < 100; i++) {
+            List<String> parts = new ArrayList<>();
+            for (int part = 0; part < 400; part++) {
+                parts.add(i + "-" + part);
+            }
+            quarantine.onCompleted(parts);
+        }
+        assertThat(quarantine.rememberedParts())
+                .isLessThanOrEqualTo(PromptQuarantine.MAX_COMPLETED_PARTS);
+    }
+
+    @Test
+    void evidenceOfMorePartsThanAMessageHoldsIsSentInSeveral() {
+        VirtualNetwork network = new VirtualNetwork(time, new Random(1));
+        VirtualProcess sender = new VirtualProcess("sender", time, network);
+        EvidenceTable sent = new EvidenceTable();
+        EvidenceTable received = new EvidenceTable();
+        new VirtualProcess("receiver", time, network)
+                .onMessage(
+                        (to, message) -> received.merge((EvidenceShare) message, time.nowMillis()));
+        EvidenceSharing sharing =
+                new EvidenceSharing("sender", sent, sender, sender, () -> List.of("receiver"));
+        List<String> parts = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            parts.add("part" + i);
+            sent.addEnd("part" + i, "u", 0);
+        }
+        sharing.onChanged(parts);
+        time.runFor(1_000);
+        assertThat(received.suspectParts()).hasSize(300);
+    }
+
     @Test
     void evidenceOfManyPartsIsBoundedAndKeepsThoseInQuarantine() {
         EvidenceTable table = new EvidenceTable();
