Log the software version of upstreams and the stream that a request resumes

Heartbeats carry the upstream's software version to all instances (empty from instances and upstreams that name none); placement.chosen and upstream.changed log it, and placement.chosen logs the request whose stream is resumed. No decision changes. Needed to tell the hypotheses on streams of two versions apart: one request at two versions, two requests, or a version taken for another.

--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
@@ -7,6 +7,8 @@
  * @param incarnation start time of the upstream's incarnation, in milliseconds; a later incarnation
  *     has a higher value
  * @param sequence increases with each heartbeat of an incarnation
+ * @param softwareVersion version of the software that the upstream runs, in no order; empty if it
+ *     is not known
  */
 public record Heartbeat(
         String id,
@@ -16,7 +18,8 @@
         int slots,
         UpstreamState state,
         long incarnation,
-        long sequence) {
+        long sequence,
+        String softwareVersion) {
     /** Returns the id of the upstream together with its incarnation. */
     public String incarnationId() {
         return id + '/' + incarnation;
@@ -41,12 +44,21 @@
                 || slots != other.slots
                 || !service.equals(other.service)
                 || !address.equals(other.address)
-                || !dataCentre.equals(other.dataCentre);
+                || !dataCentre.equals(other.dataCentre)
+                || !softwareVersion.equals(other.softwareVersion);
     }
 
     /** Returns a copy of this heartbeat with another state. */
     public Heartbeat withState(UpstreamState newState) {
         return new Heartbeat(
-                id, service, address, dataCentre, slots, newState, incarnation, sequence);
+                id,
+                service,
+                address,
+                dataCentre,
+                slots,
+                newState,
+                incarnation,
+                sequence,
+                softwareVersion);
     }
 }
--- a/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
@@ -8,7 +8,8 @@
     private final UpstreamTable table = new UpstreamTable();
 
     private static Heartbeat heartbeat(long incarnation, long sequence, UpstreamState state) {
-        return new Heartbeat("u1", "press", "10.0.0.1:80", "a", 4, state, incarnation, sequence);
+        return new Heartbeat(
+                "u1", "press", "10.0.0.1:80", "a", 4, state, incarnation, sequence, "v1");
     }
 
     @Test
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
@@ -26,7 +26,8 @@
 
     private UpstreamLoad add(String id, int port) {
         upstreams.accept(
-                new Heartbeat(id, SERVICE, "10.0.0.1:" + port, "a", 4, UpstreamState.READY, 1, 1));
+                new Heartbeat(
+                        id, SERVICE, "10.0.0.1:" + port, "a", 4, UpstreamState.READY, 1, 1, "v1"));
         return upstreams.ofService(SERVICE).stream()
                 .filter(upstream -> upstream.heartbeat().id().equals(id))
                 .findFirst()
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/ExpectedTimePlacementTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/ExpectedTimePlacementTest.java
@@ -29,7 +29,7 @@
 
     private static UpstreamLoad upstream(String id, String dataCentre) {
         Heartbeat heartbeat =
-                new Heartbeat(id, "s", id + ":1", dataCentre, 64, UpstreamState.READY, 1, 1);
+                new Heartbeat(id, "s", id + ":1", dataCentre, 64, UpstreamState.READY, 1, 1, "v1");
         return new UpstreamLoad(heartbeat, 1_000_000);
     }
 
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
@@ -11,7 +11,7 @@
 
     private static Heartbeat heartbeat(
             String id, String service, long incarnation, UpstreamState state) {
-        return new Heartbeat(id, service, "10.0.0.1:80", "a", 4, state, incarnation, 1);
+        return new Heartbeat(id, service, "10.0.0.1:80", "a", 4, state, incarnation, 1, "v1");
     }
 
     @Test
@@ -44,7 +44,8 @@
         assertThat(upstreams.markLeaving(upstreams.ofService("press").get(0))).isTrue();
         assertThat(upstreams.ofService("press")).isEmpty();
         upstreams.accept(
-                new Heartbeat("u1", "press", "10.0.0.1:80", "a", 4, UpstreamState.READY, 1, 9));
+                new Heartbeat(
+                        "u1", "press", "10.0.0.1:80", "a", 4, UpstreamState.READY, 1, 9, "v1"));
         assertThat(upstreams.ofService("press")).isEmpty();
         upstreams.accept(heartbeat("u1", "press", 2, UpstreamState.READY));
         assertThat(upstreams.ofService("press")).hasSize(1);
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/FleetConfigurationTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/FleetConfigurationTest.java
@@ -79,7 +79,15 @@
         put(1);
         Heartbeat ready =
                 new Heartbeat(
-                        "u1", "press", "10.0.1.1:80", "front-0", 4, UpstreamState.READY, 10, 1);
+                        "u1",
+                        "press",
+                        "10.0.1.1:80",
+                        "front-0",
+                        4,
+                        UpstreamState.READY,
+                        10,
+                        1,
+                        "v1");
         fleet.controls.get("control-2").instance.onHeartbeat(ready);
         fleet.time.runFor(100);
         fleet.controls.get("control-0").instance.onDeparture("u1", 10);
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/UpstreamPropagationTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/UpstreamPropagationTest.java
@@ -35,7 +35,8 @@
                             4,
                             UpstreamState.READY,
                             10,
-                            1);
+                            1,
+                            "v1");
             VirtualFleet.VirtualControl control = fleet.controls.get("control-" + i % CONTROLS);
             control.process.run(() -> control.instance.onHeartbeat(ready));
             fleet.time.runFor(20);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -319,6 +319,7 @@
                     json.writeStringField("upstream", heartbeat.id());
                     json.writeStringField("state", heartbeat.state().name());
                     json.writeStringField("address", heartbeat.address());
+                    json.writeStringField("version", heartbeat.softwareVersion());
                 });
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
@@ -9,6 +9,13 @@
  * @param apiKey API key of the customer; empty if there is none
  * @param timeoutMillis time that the caller waits for the response; 0 if not set
  * @param lastEventId id of the event after which a stream is resumed; empty for a new stream
+ * @param resumedRequestId id of the request whose response brought the first event of a resumed
+ *     stream; empty if the caller does not name it
  */
 public record CallerRequest(
-        String id, String apiKey, long timeoutMillis, RequestProfile profile, String lastEventId) {}
+        String id,
+        String apiKey,
+        long timeoutMillis,
+        RequestProfile profile,
+        String lastEventId,
+        String resumedRequestId) {}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -227,7 +227,7 @@
             return;
         }
         quarantineCheck.onSent();
-        log.logPlacement(decision, upstream, request.profile());
+        log.logPlacement(decision, upstream, request);
         Attempt next = new Attempt(this, upstream, request.profile(), forwarder);
         attempt = next;
         forwarder
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -26,12 +26,17 @@
         this.requestId = requestId;
     }
 
-    void logPlacement(Dispatcher.Decision decision, UpstreamLoad upstream, RequestProfile profile) {
+    void logPlacement(Dispatcher.Decision decision, UpstreamLoad upstream, CallerRequest request) {
+        RequestProfile profile = request.profile();
         log.event(
                 "placement.chosen",
                 json -> {
                     json.writeStringField("request", requestId);
                     json.writeStringField("upstream", upstream.heartbeat().id());
+                    json.writeStringField("version", upstream.heartbeat().softwareVersion());
+                    if (!request.lastEventId().isEmpty()) {
+                        json.writeStringField("resumes", request.resumedRequestId());
+                    }
                     json.writeNumberField("expected", (long) decision.expectedMillis());
                     json.writeNumberField("candidates", decision.candidateCount());
                     json.writeStringField("affinity", profile.affinityKey());
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonFormat.Shape;
+import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -34,6 +36,9 @@
     private static ObjectMapper createMapper() {
         ObjectMapper mapper = new CBORMapper();
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+        // Instances of an older version omit components that were added since.
+        mapper.configOverride(String.class)
+                .setSetterInfo(JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY));
         mapper.addMixIn(Message.class, TypeNameMixIn.class);
         mapper.addMixIn(JournalRecord.class, TypeNameMixIn.class);
         mapper.addMixIn(Command.class, TypeNameMixIn.class);
--- a/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
+++ b/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
@@ -3,6 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import dev.jayturn.core.consensus.AppendRequest;
 import dev.jayturn.core.consensus.LogEntry;
 import dev.jayturn.core.consensus.Member;
@@ -12,6 +16,9 @@
 import dev.jayturn.core.control.ControlOutcome;
 import dev.jayturn.core.control.Credit;
 import dev.jayturn.core.control.CreditShare;
+import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.directory.UpstreamState;
+import dev.jayturn.core.fleet.HeartbeatShare;
 import dev.jayturn.core.result.ResultCode;
 import java.io.IOException;
 import java.util.List;
@@ -55,4 +62,41 @@
         assertThatThrownBy(() -> MessageCodec.decodeMessage(new byte[] {1, 2, 3}))
                 .isInstanceOf(IOException.class);
     }
+
+    /** As instances write heartbeats that do not know the last component yet. */
+    private record OlderHeartbeat(
+            String id,
+            String service,
+            String address,
+            String dataCentre,
+            int slots,
+            UpstreamState state,
+            long incarnation,
+            long sequence) {}
+
+    private record OlderShare(@JsonProperty("@") String type, List<OlderHeartbeat> heartbeats) {}
+
+    @Test
+    void heartbeatOfAnOlderInstanceHasNoSoftwareVersion() throws IOException {
+        ObjectMapper mapper = new CBORMapper();
+        mapper.configOverride(OlderHeartbeat.class)
+                .setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
+        OlderHeartbeat older =
+                new OlderHeartbeat("u", "s", "10.0.0.1:80", "a", 4, UpstreamState.READY, 7, 2);
+        byte[] bytes = mapper.writeValueAsBytes(new OlderShare("HeartbeatShare", List.of(older)));
+        assertThat(MessageCodec.decodeMessage(bytes))
+                .isEqualTo(
+                        new HeartbeatShare(
+                                List.of(
+                                        new Heartbeat(
+                                                "u",
+                                                "s",
+                                                "10.0.0.1:80",
+                                                "a",
+                                                4,
+                                                UpstreamState.READY,
+                                                7,
+                                                2,
+                                                ""))));
+    }
 }
