Continue a broken response only at the version that began it

Cause: the directory kept no version, so every upstream of the service counted as able to continue a stream. Evidence: one request id at two versions in the users' record. Now StreamProgress keeps the origin of a stream, which is service and version of the upstream that brought the first event, and Dispatcher passes over all upstreams of another origin; without one the response is broken off, as without any upstream (4016 in the log). A head without an event binds nothing. The origin is unknown, and nothing continues it, if the upstream's id has another incarnation or version by the time its events arrive. Exchange was split for it: StreamProgress holds what it knew of the stream.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.RateLimits;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StreamOrigin;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -41,12 +42,15 @@
     /**
      * A request that has not been answered yet.
      *
+     * @param origin software that began the stream, the only one that may continue it; null if no
+     *     event has been received
      * @param triedIds ids of the upstreams that the request was already sent to
      * @param remainingMillis time until the deadline of the request
      */
     public record Query(
             String service,
             RequestProfile profile,
+            @Nullable StreamOrigin origin,
             Set<String> triedIds,
             long remainingMillis,
             long nowMillis) {}
@@ -82,7 +86,11 @@
         List<UpstreamLoad> candidates = new ArrayList<>();
         long shortestPauseMillis = Long.MAX_VALUE;
         long shortestLimitMillis = Long.MAX_VALUE;
-        for (UpstreamLoad upstream : upstreams.ofService(query.service())) {
+        List<UpstreamLoad> allowed = allowedUpstreams(query);
+        if (allowed.isEmpty() && query.origin() != null) {
+            return Decision.refuse(ResultCode.STREAM_VERSION_GONE, NO_UPSTREAM_RETRY_MILLIS, 0);
+        }
+        for (UpstreamLoad upstream : allowed) {
             if (query.triedIds().contains(upstream.heartbeat().id())
                     || !connectable.test(upstream)) {
                 continue;
@@ -126,4 +134,13 @@
         return new Decision(
                 choice.upstream(), choice.expectedMillis(), ResultCode.OK, 0, candidates.size());
     }
+
+    private List<UpstreamLoad> allowedUpstreams(Query query) {
+        List<UpstreamLoad> ofService = upstreams.ofService(query.service());
+        StreamOrigin origin = query.origin();
+        if (origin != null) {
+            ofService.removeIf(upstream -> !origin.isContinuedBy(upstream.heartbeat()));
+        }
+        return ofService;
+    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
@@ -114,6 +114,11 @@
         return readyById.get(upstream.heartbeat().id()) == upstream;
     }
 
+    /** Returns the newest heartbeat with the id of another one, which may be of a later start. */
+    public Heartbeat newestOf(Heartbeat heartbeat) {
+        return newestHeartbeats.getOrDefault(heartbeat.id(), heartbeat);
+    }
+
     /** Removes an upstream that turned out not to be at its address any more. */
     public void remove(UpstreamLoad upstream) {
         readyById.remove(upstream.heartbeat().id(), upstream);
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
@@ -7,10 +7,12 @@
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.RateLimits;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StreamOrigin;
 import dev.jayturn.core.virtual.SeededRandom;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 final class DispatcherTest {
@@ -25,9 +27,21 @@
                     random);
 
     private UpstreamLoad add(String id, int port) {
+        return add(id, port, "v1");
+    }
+
+    private UpstreamLoad add(String id, int port, String version) {
         upstreams.accept(
                 new Heartbeat(
-                        id, SERVICE, "10.0.0.1:" + port, "a", 4, UpstreamState.READY, 1, 1, "v1"));
+                        id,
+                        SERVICE,
+                        "10.0.0.1:" + port,
+                        "a",
+                        4,
+                        UpstreamState.READY,
+                        1,
+                        1,
+                        version));
         return upstreams.ofService(SERVICE).stream()
                 .filter(upstream -> upstream.heartbeat().id().equals(id))
                 .findFirst()
@@ -35,11 +49,45 @@
     }
 
     private Dispatcher.Decision decideAt(long nowMillis) {
+        return decide(null, Set.of(), nowMillis);
+    }
+
+    private Dispatcher.Decision decide(
+            @Nullable StreamOrigin origin, Set<String> triedIds, long nowMillis) {
         return dispatcher.decide(
-                new Dispatcher.Query(SERVICE, RequestProfile.PLAIN, Set.of(), 1_000, nowMillis),
+                new Dispatcher.Query(
+                        SERVICE, RequestProfile.PLAIN, origin, triedIds, 1_000, nowMillis),
                 upstream -> true);
     }
 
+    @Test
+    void streamGoesOnOnlyAtTheVersionThatBeganIt() {
+        UpstreamLoad old = add("u1", 1);
+        add("u2", 2, "v2");
+        StreamOrigin origin = new StreamOrigin(SERVICE, "v1");
+        for (int i = 0; i < 20; i++) {
+            assertThat(decide(origin, Set.of(), 0).upstream()).isEqualTo(old);
+            old.requestStarted(RequestProfile.PLAIN);
+        }
+    }
+
+    @Test
+    void streamIsRefusedOnceNoUpstreamOfItsVersionIsLeft() {
+        add("u2", 2, "v2");
+        StreamOrigin origin = new StreamOrigin(SERVICE, "v1");
+        assertThat(decide(origin, Set.of(), 0).code()).isEqualTo(ResultCode.STREAM_VERSION_GONE);
+        assertThat(decide(StreamOrigin.UNKNOWN, Set.of(), 0).code())
+                .isEqualTo(ResultCode.STREAM_VERSION_GONE);
+    }
+
+    @Test
+    void streamIsRefusedForNowIfTheOnlyUpstreamOfItsVersionWasTried() {
+        add("u1", 1);
+        add("u2", 2, "v2");
+        StreamOrigin origin = new StreamOrigin(SERVICE, "v1");
+        assertThat(decide(origin, Set.of("u1"), 0).code()).isEqualTo(ResultCode.NO_UPSTREAM);
+    }
+
     @Test
     void pausedUpstreamGetsNoRequestUntilItsPauseEnds() {
         UpstreamLoad paused = add("u1", 1);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -1,8 +1,10 @@
 package dev.jayturn.daemon.proxy;
 
+import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.dispatch.RequestProfile;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StreamOrigin;
 import dev.jayturn.core.timer.TimerService;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,6 +18,7 @@
 final class Attempt implements UpstreamListener {
     private final Exchange exchange;
     private final UpstreamLoad upstream;
+    private final Heartbeat heartbeatAtStart;
     private final RequestProfile profile;
     private final Forwarder forwarder;
     private final TimerService timers;
@@ -66,6 +69,7 @@
     Attempt(Exchange exchange, UpstreamLoad upstream, RequestProfile profile, Forwarder forwarder) {
         this.exchange = exchange;
         this.upstream = upstream;
+        this.heartbeatAtStart = upstream.heartbeat();
         this.profile = profile;
         this.forwarder = forwarder;
         this.timers = forwarder.timers();
@@ -81,6 +85,11 @@
         return upstream;
     }
 
+    /** Returns the origin of events that are received now. */
+    StreamOrigin eventOrigin() {
+        return StreamOrigin.of(heartbeatAtStart, forwarder.upstreams().newestOf(heartbeatAtStart));
+    }
+
     void onConnection(UpstreamConnection usedConnection) {
         connection = usedConnection;
     }
@@ -171,7 +180,7 @@
         }
         responseStarted = true;
         runStartMillis = timers.nowMillis();
-        eventsAtStart = exchange.eventCount();
+        eventsAtStart = exchange.stream().eventCount();
         upstream.firstEventReceived(uncachedTokens, elapsedMillis(), noOtherPromptWaiting);
         forwarder.onLoadChange();
         exchange.onResponseHead(response, successStatus);
@@ -200,7 +209,7 @@
         boolean isForeign = successStatus && codec.responseRequestId(response).isEmpty();
         if (isForeign
                 || !codec.isSigned(response)
-                || (exchange.hasStreamStarted() && !successStatus)) {
+                || (exchange.stream().hasBegun() && !successStatus)) {
             return Failure.BROKEN;
         }
         // REPLACED means that the retry is acquired: Exchange.onFailure does not acquire it again.
@@ -209,7 +218,7 @@
 
     @Override
     public void onResponseBody(ByteBuf bytes) {
-        if (!ended && !exchange.onResponseBody(bytes)) {
+        if (!ended && !exchange.onResponseBody(this, bytes)) {
             endWithoutResponse(Failure.BROKEN);
         }
     }
@@ -220,7 +229,7 @@
             return;
         }
         recordEnd();
-        if (exchange.hasPartialEvent() || isEmptyCloseDelimitedStream()) {
+        if (exchange.stream().hasPartialEvent() || isEmptyCloseDelimitedStream()) {
             recordCutOff();
             reportFailure(Failure.BROKEN);
             return;
@@ -248,12 +257,12 @@
         UpstreamConnection currentConnection = connection;
         return currentConnection != null
                 && currentConnection.isCloseDelimited()
-                && exchange.isStreamWithoutEvents();
+                && exchange.stream().isWithoutEvents();
     }
 
     private void recordCutOff() {
         boolean beforeAnEvent =
-                responseStarted && successStatus && exchange.eventCount() == eventsAtStart;
+                responseStarted && successStatus && exchange.stream().eventCount() == eventsAtStart;
         retryAllowed =
                 exchange.quarantineCheck()
                         .onCutOff(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -60,12 +60,12 @@
     private final Set<String> triedIds = new HashSet<>();
     private final QuarantineCheck quarantineCheck;
     private final PermitWait permitWait;
+    private final StreamProgress stream;
     private @Nullable Route route;
     private @Nullable Service service;
     private @Nullable TokenReservation tokenReservation;
     private @Nullable Cancellable timeoutTimer;
     private @Nullable Attempt attempt;
-    private @Nullable ServerSentEventScanner scanner;
     private String customer = "";
     private int priority;
     private long deadlineMillis;
@@ -88,6 +88,7 @@
         this.body = body;
         this.receivedMillis = forwarder.timers().nowMillis();
         this.log = new ExchangeLog(forwarder.log(), forwarder.metrics(), request.id());
+        this.stream = new StreamProgress(request.lastEventId());
         this.quarantineCheck =
                 new QuarantineCheck(
                         forwarder.quarantine(),
@@ -213,6 +214,7 @@
                 new Dispatcher.Query(
                         target.name(),
                         request.profile(),
+                        stream.origin(),
                         triedIds,
                         deadlineMillis - nowMillis,
                         nowMillis);
@@ -252,14 +254,13 @@
     }
 
     private FullHttpRequest upstreamRequest(UpstreamLoad upstream) {
-        ServerSentEventScanner currentScanner = scanner;
         UpstreamRequestMetadata metadata =
                 new UpstreamRequestMetadata(
                         upstream.heartbeat().id(),
                         customer,
                         Math.max(1, deadlineMillis - forwarder.timers().nowMillis()),
                         priority,
-                        currentScanner == null ? request.lastEventId() : currentScanner.lastId());
+                        stream.lastEventId());
         return UpstreamRequests.create(forwarder.codec(), head, body, metadata);
     }
 
@@ -271,20 +272,8 @@
         return quarantineCheck;
     }
 
-    /** Returns whether the head of a stream was sent to the caller. */
-    boolean hasStreamStarted() {
-        return scanner != null;
-    }
-
-    /** Returns whether the stream so far ends with an incomplete event. */
-    boolean hasPartialEvent() {
-        ServerSentEventScanner currentScanner = scanner;
-        return currentScanner != null && currentScanner.hasPartialEvent();
-    }
-
-    /** Returns whether a new stream, not a resumed one, has had no event so far. */
-    boolean isStreamWithoutEvents() {
-        return scanner != null && eventCount() == 0 && request.lastEventId().isEmpty();
+    StreamProgress stream() {
+        return stream;
     }
 
     /**
@@ -293,12 +282,12 @@
      */
     void onResponseHead(HttpResponse response, boolean success) {
         log.recordFirstByte(forwarder.timers().nowMillis() - receivedMillis);
-        if (scanner != null) {
+        if (stream.hasBegun()) {
             return;
         }
         Route currentRoute = route;
         if (success && currentRoute != null && currentRoute.kind() == RequestKind.STREAM) {
-            scanner = new ServerSentEventScanner(caller.allocator(), request.lastEventId());
+            stream.begin(caller.allocator());
         }
         headSent = true;
         caller.sendHead(response);
@@ -309,19 +298,18 @@
      *
      * @return false if the body cannot be forwarded, because it has an event of excessive length
      */
-    boolean onResponseBody(ByteBuf bytes) {
-        ServerSentEventScanner currentScanner = scanner;
-        if (currentScanner == null) {
+    boolean onResponseBody(Attempt source, ByteBuf bytes) {
+        if (!stream.hasBegun()) {
             caller.sendBody(bytes.retain());
             return true;
         }
-        ByteBuf completeEvents = currentScanner.scan(bytes);
+        ByteBuf completeEvents = stream.scan(source, bytes);
         if (completeEvents.isReadable()) {
             caller.sendBody(completeEvents);
         } else {
             completeEvents.release();
         }
-        return !currentScanner.isEventTooLong();
+        return !stream.isEventTooLong();
     }
 
     void onResponseComplete() {
@@ -335,7 +323,11 @@
         attempt = null;
         triedIds.add(failed.upstream().heartbeat().id());
         log.logFailedAttempt(
-                failed, failure, eventCount(), request.profile(), quarantineCheck.fingerprint());
+                failed,
+                failure,
+                stream.eventCount(),
+                request.profile(),
+                quarantineCheck.fingerprint());
         switch (failure) {
             case MISDIRECTED:
                 forwarder.upstreams().remove(failed.upstream());
@@ -356,23 +348,16 @@
                 retryOrFail(failure, true);
                 break;
             default:
-                discardPartialEvent();
+                stream.discardPartialEvent();
                 boolean retryable =
                         failed.wasSent()
-                                && (!headSent || hasStreamStarted())
+                                && (!headSent || stream.hasBegun())
                                 && failed.isRetryAllowed();
                 retryOrFail(failure, retryable && tryAcquireRetry());
                 break;
         }
     }
 
-    private void discardPartialEvent() {
-        ServerSentEventScanner currentScanner = scanner;
-        if (currentScanner != null) {
-            currentScanner.discardPartialEvent();
-        }
-    }
-
     private void retryUnsent(Attempt.Failure failure) {
         unsentCount++;
         retryOrFail(failure, unsentCount <= MAX_UNSENT_RETRIES);
@@ -386,11 +371,6 @@
         }
     }
 
-    long eventCount() {
-        ServerSentEventScanner currentScanner = scanner;
-        return currentScanner == null ? 0 : currentScanner.eventCount();
-    }
-
     private boolean mayHaveExecuted() {
         return sendCount > notExecutedCount;
     }
@@ -470,7 +450,7 @@
         if (currentAttempt != null) {
             currentAttempt.cancel();
         }
-        long eventCount = eventCount();
+        long eventCount = stream.eventCount();
         TokenReservation reservation = tokenReservation;
         if (reservation != null) {
             reservation.settle(mayHaveExecuted() ? maxDeliveredTokens(eventCount) : 0);
@@ -482,9 +462,7 @@
                 forwarder.timers().nowMillis() - receivedMillis,
                 sendCount,
                 eventCount);
-        if (scanner != null) {
-            scanner.release();
-        }
+        stream.release();
         body.release();
         forwarder.onExchangeEnded();
         caller.onExchangeEnded();
