Resume a caller's stream only at the version that began it

Cause: the header that names the first request was read nowhere, and any upstream could continue. Now the instance records the origin with the first event of a resumable stream, under a digest of customer and request id, for as long as the caller may come back. A resumption goes to the same service and version only; if no such upstream is left it is refused with 4016, and if the stream is not known with 4017, both before tokens are reserved and before anything is sent, so that 503 is true. Two origins under one id make it unknown.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/RequestProfile.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/RequestProfile.java
@@ -19,6 +19,15 @@
         return promptTokens + maxOutputTokens;
     }
 
+    /**
+     * Returns an upper bound of the tokens of the prompt and of the output so far.
+     *
+     * @param output upper bound of the output tokens delivered, whatever was asked for
+     */
+    public long maxDeliveredTokens(long output) {
+        return promptTokens + Math.min(maxOutputTokens, output);
+    }
+
     /**
      * Returns the id of the last part that other requests may share, or of the only part; empty
      * without parts. Requests with equal keys should go to the same upstream.
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ServiceSelector.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ServiceSelector.java
@@ -3,15 +3,27 @@
 import dev.jayturn.core.configuration.Route;
 import dev.jayturn.core.configuration.ServiceWeight;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.resumption.StreamOrigin;
 import java.util.List;
 
-/** Selects the service of a request at random, by the weights of its route. */
+/**
+ * Selects the service of a request: at random, by the weights of its route, or the one that began
+ * the stream that the request resumes.
+ */
 public final class ServiceSelector {
     private static final int RANDOM_STEPS = 1 << 20;
 
     private ServiceSelector() {}
 
-    /** Returns the name of the selected service. */
+    /** Returns whether a route allows that a stream goes on at the service that began it. */
+    public static boolean isAllowed(Route route, StreamOrigin origin) {
+        return route.serviceWeights().stream()
+                .anyMatch(
+                        service ->
+                                service.weight() > 0 && service.service().equals(origin.service()));
+    }
+
+    /** Returns the name of a service selected at random. */
     public static String select(Route route, RandomSource random) {
         List<ServiceWeight> services = route.serviceWeights();
         double sum = 0;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -24,6 +24,7 @@
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.RateLimitListener;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
+import dev.jayturn.core.resumption.StreamOrigins;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
@@ -173,7 +174,8 @@
                         this,
                         forwarder::onPermits);
         rateLimiter = limiter;
-        forwarder.setEntryInstance(entry, loads, limiter);
+        StreamOrigins origins = new StreamOrigins(timers);
+        forwarder.setEntryInstance(entry, loads, limiter, origins);
         EvidenceSharing evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, entry::controlAddresses);
         quarantine.setSharing(evidenceSharing::onChanged);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -11,14 +11,14 @@
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.OriginCallback;
+import dev.jayturn.core.resumption.StreamOrigin;
 import dev.jayturn.core.timer.Cancellable;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.HashSet;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,7 +26,7 @@
  * Refusals of well-formed requests are decided here, because only this class knows whether the
  * request may have been executed; {@link CallerConnection} refuses malformed and oversized ones.
  */
-final class Exchange implements TokenReservation.Callback {
+final class Exchange implements TokenReservation.Callback, OriginCallback {
     /** Suggested retry delay if tokens may become available. */
     private static final long TOKEN_RETRY_AFTER_MILLIS = 1_000;
 
@@ -44,12 +44,6 @@
     /** Number of priorities of routes within each priority of customers. */
     private static final int ROUTE_PRIORITIES = 3;
 
-    /**
-     * Maximum number of retries after attempts that found the upstream unreachable or another
-     * upstream at its address.
-     */
-    private static final int MAX_UNSENT_RETRIES = 4;
-
     private final Forwarder forwarder;
     private final CallerConnection caller;
     private final HttpRequest head;
@@ -57,11 +51,13 @@
     private final ByteBuf body;
     private final long receivedMillis;
     private final ExchangeLog log;
-    private final Set<String> triedIds = new HashSet<>();
+    private final SendHistory history = new SendHistory();
     private final QuarantineCheck quarantineCheck;
     private final PermitWait permitWait;
     private final StreamProgress stream;
+    private final StreamRecord streamRecord;
     private @Nullable Route route;
+    private @Nullable Customer payer;
     private @Nullable Service service;
     private @Nullable TokenReservation tokenReservation;
     private @Nullable Cancellable timeoutTimer;
@@ -69,9 +65,6 @@
     private String customer = "";
     private int priority;
     private long deadlineMillis;
-    private int sendCount;
-    private int notExecutedCount;
-    private int unsentCount;
     private boolean headSent;
     private boolean ended;
 
@@ -88,7 +81,8 @@
         this.body = body;
         this.receivedMillis = forwarder.timers().nowMillis();
         this.log = new ExchangeLog(forwarder.log(), forwarder.metrics(), request.id());
-        this.stream = new StreamProgress(request.lastEventId());
+        this.streamRecord = new StreamRecord(forwarder, request);
+        this.stream = new StreamProgress(request.lastEventId(), this::recordOrigin);
         this.quarantineCheck =
                 new QuarantineCheck(
                         forwarder.quarantine(),
@@ -121,8 +115,7 @@
         }
         cancelTimeout();
         RouteTable table = forwarder.routes();
-        EntryInstance instance = forwarder.entryInstance();
-        if (table == null || instance == null) {
+        if (table == null || forwarder.entryInstance() == null) {
             refuse(ResultCode.NOT_READY, DEFAULT_RETRY_AFTER_MILLIS);
             return;
         }
@@ -134,13 +127,13 @@
         }
         route = matchedRoute;
         priority = matchedRoute.priority();
-        Customer matchedCustomer = null;
         if (table.configuration().keyRequired() && !matchedRoute.keyless()) {
-            matchedCustomer = table.findCustomer(request.apiKey());
+            Customer matchedCustomer = table.findCustomer(request.apiKey());
             if (matchedCustomer == null) {
                 refuse(ResultCode.UNAUTHORIZED, 0);
                 return;
             }
+            payer = matchedCustomer;
             customer = matchedCustomer.name();
             priority = matchedCustomer.priority() * ROUTE_PRIORITIES + matchedRoute.priority();
         }
@@ -161,23 +154,65 @@
         }
         deadlineMillis = receivedMillis + timeoutMillis;
         timeoutTimer = forwarder.timers().schedule(timeoutMillis - elapsedMillis, this::onTimeout);
-        long maxTokens = request.profile().maxTokens();
-        if (matchedCustomer != null
-                && matchedCustomer.prepaidTokens().isPresent()
-                && maxTokens > 0) {
-            TokenReservation reservation =
-                    new TokenReservation(
-                            forwarder.timers(),
-                            forwarder.tokenWaitQueue(),
-                            instance,
-                            customer,
-                            maxTokens,
-                            this);
-            tokenReservation = reservation;
-            reservation.reserve();
+        if (matchedRoute.kind() == RequestKind.STREAM && stream.isResumed()) {
+            streamRecord.find(customer, this);
         } else {
+            reserveTokens();
+        }
+    }
+
+    @Override
+    public void onFound(StreamOrigin origin) {
+        RouteTable table = forwarder.routes();
+        Route currentRoute = route;
+        if (ended || table == null || currentRoute == null) {
+            return;
+        }
+        log.logResumption(request, origin, forwarder.timers().nowMillis() - receivedMillis);
+        if (!ServiceSelector.isAllowed(currentRoute, origin)) {
+            refuse(ResultCode.STREAM_VERSION_GONE, 0);
+            return;
+        }
+        stream.setOrigin(origin);
+        service = table.findService(origin.service());
+        reserveTokens();
+    }
+
+    @Override
+    public void onNotFound(boolean isCertain) {
+        if (!ended) {
+            long waitedMillis = forwarder.timers().nowMillis() - receivedMillis;
+            log.logUnknownStream(request, isCertain, waitedMillis);
+            refuse(ResultCode.STREAM_UNKNOWN, isCertain ? 0 : DEFAULT_RETRY_AFTER_MILLIS);
+        }
+    }
+
+    private void recordOrigin(StreamOrigin origin) {
+        Route currentRoute = route;
+        if (currentRoute != null) {
+            streamRecord.put(customer, currentRoute, origin);
+        }
+    }
+
+    private void reserveTokens() {
+        EntryInstance instance = forwarder.entryInstance();
+        Customer currentPayer = payer;
+        long maxTokens = request.profile().maxTokens();
+        boolean isPrepaid = currentPayer != null && currentPayer.prepaidTokens().isPresent();
+        if (instance == null || !isPrepaid || maxTokens == 0) {
             onReserved();
+            return;
         }
+        TokenReservation reservation =
+                new TokenReservation(
+                        forwarder.timers(),
+                        forwarder.tokenWaitQueue(),
+                        instance,
+                        customer,
+                        maxTokens,
+                        this);
+        tokenReservation = reservation;
+        reservation.reserve();
     }
 
     @Override
@@ -215,7 +250,7 @@
                         target.name(),
                         request.profile(),
                         stream.origin(),
-                        triedIds,
+                        history.triedIds(),
                         deadlineMillis - nowMillis,
                         nowMillis);
         Dispatcher.Decision decision =
@@ -265,7 +300,7 @@
     }
 
     void onSent() {
-        sendCount++;
+        history.onSent();
     }
 
     QuarantineCheck quarantineCheck() {
@@ -321,7 +356,7 @@
     /** Called when an attempt failed: retries the request, or fails it. */
     void onFailure(Attempt failed, Attempt.Failure failure) {
         attempt = null;
-        triedIds.add(failed.upstream().heartbeat().id());
+        history.onFailed(failed.upstream());
         log.logFailedAttempt(
                 failed,
                 failure,
@@ -331,16 +366,15 @@
         switch (failure) {
             case MISDIRECTED:
                 forwarder.upstreams().remove(failed.upstream());
-                // The request was not executed at the address, so it counts as not sent.
-                sendCount--;
-                retryUnsent(failure);
+                history.onMisdirected();
+                retryOrFail(failure, history.tryRetryUnsent());
                 break;
             case UNREACHABLE:
             case WITHDRAWN:
-                retryUnsent(failure);
+                retryOrFail(failure, history.tryRetryUnsent());
                 break;
             case DECLINED:
-                notExecutedCount++;
+                history.onNotExecuted();
                 retryOrFail(failure, tryAcquireRetry());
                 break;
             case REPLACED:
@@ -358,11 +392,6 @@
         }
     }
 
-    private void retryUnsent(Attempt.Failure failure) {
-        unsentCount++;
-        retryOrFail(failure, unsentCount <= MAX_UNSENT_RETRIES);
-    }
-
     private void retryOrFail(Attempt.Failure failure, boolean retry) {
         if (retry) {
             dispatch();
@@ -371,10 +400,6 @@
         }
     }
 
-    private boolean mayHaveExecuted() {
-        return sendCount > notExecutedCount;
-    }
-
     /**
      * Returns whether the request may be sent to one more upstream, and counts the retry in the
      * retry budget if so.
@@ -384,8 +409,8 @@
         Service target = service;
         return currentRoute != null
                 && target != null
-                && (currentRoute.isRepeatable() || !mayHaveExecuted())
-                && sendCount < currentRoute.maxAttempts()
+                && (currentRoute.isRepeatable() || !history.mayHaveExecuted())
+                && history.sendCount() < currentRoute.maxAttempts()
                 && forwarder.retryBudget(target.name()).tryAcquire(forwarder.instanceCount());
     }
 
@@ -420,7 +445,7 @@
         // These statuses tell the caller that the request was not executed, so they are used only
         // if no upstream can have executed it.
         boolean meansNotExecuted = code.httpStatus() == 503 || code.httpStatus() == 429;
-        if (mayHaveExecuted() && meansNotExecuted) {
+        if (history.mayHaveExecuted() && meansNotExecuted) {
             refuse(ResultCode.UPSTREAM_FAILED, 0);
         } else {
             refuse(code, retryAfterMillis);
@@ -451,28 +476,23 @@
             currentAttempt.cancel();
         }
         long eventCount = stream.eventCount();
+        Engine engine = service == null ? null : service.engine();
+        long maxOutput = engine == null ? 0 : eventCount * engine.maxTokensPerEvent();
+        long maxDelivered = request.profile().maxDeliveredTokens(maxOutput);
         TokenReservation reservation = tokenReservation;
         if (reservation != null) {
-            reservation.settle(mayHaveExecuted() ? maxDeliveredTokens(eventCount) : 0);
+            reservation.settle(history.mayHaveExecuted() ? maxDelivered : 0);
         }
         log.logEnd(
                 code,
                 route == null ? "" : route.name(),
                 customer,
                 forwarder.timers().nowMillis() - receivedMillis,
-                sendCount,
+                history.sendCount(),
                 eventCount);
         stream.release();
         body.release();
         forwarder.onExchangeEnded();
         caller.onExchangeEnded();
     }
-
-    /** Returns an upper bound of the tokens of the prompt and of a number of events. */
-    private long maxDeliveredTokens(long eventCount) {
-        Engine engine = service == null ? null : service.engine();
-        long output = engine == null ? 0 : eventCount * engine.maxTokensPerEvent();
-        return request.profile().promptTokens()
-                + Math.min(request.profile().maxOutputTokens(), output);
-    }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -5,6 +5,7 @@
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StreamOrigin;
 import dev.jayturn.core.slice.SliceView;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.metrics.FleetMetrics;
@@ -47,6 +48,29 @@
                 });
     }
 
+    void logResumption(CallerRequest request, StreamOrigin origin, long waitedMillis) {
+        log.event(
+                "stream.resumed",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeStringField("resumes", request.resumedRequestId());
+                    json.writeStringField("service", origin.service());
+                    json.writeStringField("version", origin.softwareVersion());
+                    json.writeNumberField("waited", waitedMillis);
+                });
+    }
+
+    void logUnknownStream(CallerRequest request, boolean isCertain, long waitedMillis) {
+        log.event(
+                "stream.unknown",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeStringField("resumes", request.resumedRequestId());
+                    json.writeBooleanField("certain", isCertain);
+                    json.writeNumberField("waited", waitedMillis);
+                });
+    }
+
     void logTokenShortage(TokenReservation reservation, String customer) {
         SliceView view = reservation.sliceView();
         log.event(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -13,6 +13,7 @@
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
+import dev.jayturn.core.resumption.StreamOrigins;
 import dev.jayturn.core.retry.SharedRetryBudget;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.eventlog.EventLog;
@@ -50,6 +51,7 @@
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
+    private @Nullable StreamOrigins streamOrigins;
     private @Nullable RouteTable routes;
     private boolean draining;
     private int openRequests;
@@ -90,14 +92,18 @@
     }
 
     /**
-     * Sets the entry instance, the loads of its peers and the limiter of its requests; requests are
-     * refused until then.
+     * Sets the entry instance, the loads of its peers, the limiter of its requests and the origins
+     * of its streams; requests are refused until then.
      */
     public void setEntryInstance(
-            EntryInstance instance, PeerLoads loads, UpstreamRateLimiter limiter) {
+            EntryInstance instance,
+            PeerLoads loads,
+            UpstreamRateLimiter limiter,
+            StreamOrigins origins) {
         entryInstance = instance;
         peerLoads = loads;
         rateLimiter = limiter;
+        streamOrigins = origins;
         dispatcher.setRateLimits(limiter);
     }
 
@@ -222,6 +228,10 @@
         return entryInstance;
     }
 
+    @Nullable StreamOrigins streamOrigins() {
+        return streamOrigins;
+    }
+
     @Nullable RouteTable routes() {
         return routes;
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/StreamProgress.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/StreamProgress.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.resumption.StreamOrigin;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,6 +12,7 @@
  */
 final class StreamProgress {
     private final String resumedEventId;
+    private final Consumer<StreamOrigin> originListener;
     private @Nullable ServerSentEventScanner scanner;
     private @Nullable StreamOrigin origin;
 
@@ -19,9 +21,21 @@
      *
      * @param resumedEventId id of the event after which the caller resumes a stream; empty for a
      *     new stream
+     * @param originListener called with the first event, and if the origin becomes unknown later
      */
-    StreamProgress(String resumedEventId) {
+    StreamProgress(String resumedEventId, Consumer<StreamOrigin> originListener) {
         this.resumedEventId = resumedEventId;
+        this.originListener = originListener;
+    }
+
+    /** Returns whether the caller resumes a stream. */
+    boolean isResumed() {
+        return !resumedEventId.isEmpty();
+    }
+
+    /** Sets the origin of a stream that the caller resumes. */
+    void setOrigin(StreamOrigin resumedOrigin) {
+        origin = resumedOrigin;
     }
 
     void begin(ByteBufAllocator allocator) {
@@ -34,7 +48,7 @@
 
     /** Returns whether a new stream, not a resumed one, has had no event so far. */
     boolean isWithoutEvents() {
-        return scanner != null && eventCount() == 0 && resumedEventId.isEmpty();
+        return scanner != null && eventCount() == 0 && !isResumed();
     }
 
     /** Returns whether the stream so far ends with an incomplete event. */
@@ -83,7 +97,11 @@
         if (current.eventCount() > previousEvents) {
             StreamOrigin eventOrigin = source.eventOrigin();
             StreamOrigin known = origin;
-            origin = known == null ? eventOrigin : known.merge(eventOrigin);
+            StreamOrigin merged = known == null ? eventOrigin : known.merge(eventOrigin);
+            origin = merged;
+            if (previousEvents == 0 || !merged.equals(known)) {
+                originListener.accept(merged);
+            }
         }
         return completeEvents;
     }
