--- a/jayturn-core/src/main/java/dev/jayturn/core/virtual/VirtualNetwork.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/virtual/VirtualNetwork.java
@@ -20,6 +20,10 @@
     private final Map<String, VirtualProcess> processes = new HashMap<>();
     private final Map<String, String> dataCentres = new HashMap<>();
     private final Set<String> isolated = new HashSet<>();
+
+    /** Names whose process has restarted, with the senders that have noticed it. */
+    private final Map<String, Set<String>> brokenConnections = new HashMap<>();
+
     private double lossRate;
     private double duplicateRate;
     private int remoteDelayMillis = 20;
@@ -58,6 +62,14 @@
         isolated.add(name);
     }
 
+    /**
+     * Breaks all connections to an instance, as if it had lost power: the next message from each
+     * sender goes to the old connection and is lost.
+     */
+    public void breakConnectionsTo(String name) {
+        brokenConnections.put(name, new HashSet<>());
+    }
+
     /** Ends all partitions. */
     public void heal() {
         isolated.clear();
@@ -74,6 +86,10 @@
                 Addresses.isUpstream(from)
                         || Addresses.isUpstream(to)
                         || from.equals(Addresses.instanceOf(to));
+        Set<String> noticed = brokenConnections.get(Addresses.instanceOf(to));
+        if (noticed != null && noticed.add(from)) {
+            return;
+        }
         int copies = !reliable && random.nextDouble() < duplicateRate ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             if (reliable || random.nextDouble() >= lossRate) {
