Do not say that a version is gone before any upstream is known

Now it says 4001 until it knows any upstream of the service. The new test of DispatcherTest fails on the code before.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -86,8 +86,9 @@
         List<UpstreamLoad> candidates = new ArrayList<>();
         long shortestPauseMillis = Long.MAX_VALUE;
         long shortestLimitMillis = Long.MAX_VALUE;
-        List<UpstreamLoad> allowed = allowedUpstreams(query);
-        if (allowed.isEmpty() && query.origin() != null) {
+        List<UpstreamLoad> ofService = upstreams.ofService(query.service());
+        List<UpstreamLoad> allowed = upstreamsThatContinue(query.origin(), ofService);
+        if (allowed.isEmpty() && !ofService.isEmpty()) {
             return Decision.refuse(ResultCode.STREAM_VERSION_GONE, NO_UPSTREAM_RETRY_MILLIS, 0);
         }
         for (UpstreamLoad upstream : allowed) {
@@ -135,12 +136,12 @@
                 choice.upstream(), choice.expectedMillis(), ResultCode.OK, 0, candidates.size());
     }
 
-    private List<UpstreamLoad> allowedUpstreams(Query query) {
-        List<UpstreamLoad> ofService = upstreams.ofService(query.service());
-        StreamOrigin origin = query.origin();
-        if (origin != null) {
-            ofService.removeIf(upstream -> !origin.isContinuedBy(upstream.heartbeat()));
-        }
-        return ofService;
+    private static List<UpstreamLoad> upstreamsThatContinue(
+            @Nullable StreamOrigin origin, List<UpstreamLoad> upstreams) {
+        return origin == null
+                ? upstreams
+                : upstreams.stream()
+                        .filter(upstream -> origin.isContinuedBy(upstream.heartbeat()))
+                        .toList();
     }
 }
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
@@ -80,6 +80,12 @@
                 .isEqualTo(ResultCode.STREAM_VERSION_GONE);
     }
 
+    @Test
+    void instanceThatKnowsNoUpstreamsYetDoesNotSayThatTheVersionIsGone() {
+        assertThat(decide(new StreamOrigin(SERVICE, "v1"), Set.of(), 0).code())
+                .isEqualTo(ResultCode.NO_UPSTREAM);
+    }
+
     @Test
     void streamIsRefusedForNowIfTheOnlyUpstreamOfItsVersionWasTried() {
         add("u1", 1);
