Decide in core what a broken request is blamed for

The daemon decided which of a request and its prompt parts is suspect after an upstream broke it off, and for how long a request counts as the possible cause; it now passes a CutOff to Quarantine, which decides. No behaviour changes; QuarantineTest has three more cases for the decision that moved.

--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
@@ -1,6 +1,7 @@
 package dev.jayturn.core.quarantine;
 
 import dev.jayturn.core.timer.TimerService;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -28,6 +29,9 @@
     /** After a quarantine has ended, one request with the part is sent in this time. */
     private static final long PROBE_INTERVAL_MILLIS = 10_000;
 
+    /** A request that has run for longer than this does not make an upstream crash. */
+    static final long MAX_CRASH_MILLIS = 1_500;
+
     static final int MAX_COMPLETED_PARTS = 8_192;
 
     private final TimerService timers;
@@ -100,27 +104,6 @@
         return Math.max(quarantine, untilProbe);
     }
 
-    /**
-     * Returns whether a request that ended with its upstream before its first event may be sent to
-     * another one: only if each part has had a complete response and is not blamed for more ends.
-     */
-    public boolean isRetryAllowed(List<String> parts) {
-        for (String part : parts) {
-            if (!completedMillis.containsKey(part) || table.countIndependentEnds(part) > 1) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /**
-     * Returns whether a request that ended soon with its upstream may be sent to another one: only
-     * if it has not ended with one before, since most requests are sound.
-     */
-    public boolean isRequestRetryAllowed(String request) {
-        return table.countIndependentEnds(request) <= 1;
-    }
-
     /** Returns whether there is evidence that a complete response may clear. */
     public boolean hasEvidence() {
         return !table.isEmpty();
@@ -143,15 +126,40 @@
     }
 
     /**
-     * Records that an upstream ended, or broke the connection, while it ran a request.
+     * Records that an upstream ended, or broke the connection, while it ran a request. The request
+     * is suspect if it has run for a short time, the parts of its prompt if the response had begun
+     * without an event.
      *
-     * @param suspects what may have caused it: the fingerprint of the request, and the shareable
-     *     parts of its prompt if the response had begun without an event
-     * @param upstream id and incarnation of the upstream
-     * @param request fingerprint of the request
-     * @param sentMillis time when the request was sent to the upstream
+     * @return whether another upstream may get the request without a risk that it crashes too
      */
-    public void onCutOff(List<String> suspects, String upstream, String request, long sentMillis) {
+    public boolean onCutOff(CutOff cutOff) {
+        boolean isRequestSuspect = cutOff.ranMillis() <= MAX_CRASH_MILLIS;
+        List<String> parts = cutOff.beforeAnEvent() ? cutOff.parts() : List.of();
+        List<String> suspects = new ArrayList<>(parts);
+        if (isRequestSuspect) {
+            suspects.add(cutOff.request());
+        }
+        blame(suspects, cutOff.upstream(), cutOff.request(), cutOff.sentMillis());
+        return (!isRequestSuspect || isRequestRetryAllowed(cutOff.request()))
+                && isRetryAllowed(parts);
+    }
+
+    /** Returns whether each part has had a complete response and is not blamed for more ends. */
+    boolean isRetryAllowed(List<String> parts) {
+        for (String part : parts) {
+            if (!completedMillis.containsKey(part) || table.countIndependentEnds(part) > 1) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns whether a request has not ended with another upstream before. */
+    boolean isRequestRetryAllowed(String request) {
+        return table.countIndependentEnds(request) <= 1;
+    }
+
+    void blame(List<String> suspects, String upstream, String request, long sentMillis) {
         boolean explained = suspects.stream().anyMatch(condemned::contains);
         Set<String> changed = new HashSet<>();
         for (String suspect : suspects) {
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/CrashingPartTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/CrashingPartTest.java
@@ -4,6 +4,7 @@
 
 import dev.jayturn.core.fleet.VirtualFleet.VirtualControl;
 import dev.jayturn.core.fleet.VirtualFleet.VirtualEntry;
+import dev.jayturn.core.quarantine.CutOff;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -44,14 +45,18 @@
         String upstream = "upstream-" + crashMillis.size();
         long sent = fleet.time.nowMillis();
         String request = "request of " + upstream;
-        entry.process.schedule(
-                100, () -> entry.quarantine.onCutOff(parts, upstream, request, sent));
+        entry.process.schedule(100, () -> cutOff(entry, request, parts, upstream, sent));
         // A sound request begins to be answered on the same upstream in the same moment.
         VirtualEntry neighbour = anyEntry();
         List<String> soundParts = List.of("first", anySoundPart(), anySoundPart());
         String soundRequest = "request beside " + upstream;
         neighbour.process.schedule(
-                100, () -> neighbour.quarantine.onCutOff(soundParts, upstream, soundRequest, sent));
+                100, () -> cutOff(neighbour, soundRequest, soundParts, upstream, sent));
+    }
+
+    private static void cutOff(
+            VirtualEntry entry, String request, List<String> parts, String upstream, long sent) {
+        entry.quarantine.onCutOff(new CutOff(request, parts, upstream, true, 100, sent));
     }
 
     private void sendSound() {
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/CrashingRequestFleetTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/CrashingRequestFleetTest.java
@@ -4,6 +4,7 @@
 
 import dev.jayturn.core.fleet.VirtualFleet.VirtualControl;
 import dev.jayturn.core.fleet.VirtualFleet.VirtualEntry;
+import dev.jayturn.core.quarantine.CutOff;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -49,20 +50,24 @@
         VirtualEntry neighbour = anyEntry();
         String poll = anyPoll();
         neighbour.process.schedule(
-                RUN_MILLIS,
-                () -> neighbour.quarantine.onCutOff(List.of(poll), upstream, poll, sent));
+                RUN_MILLIS, () -> cutOff(neighbour, poll, List.of(), upstream, sent));
         neighbour.process.schedule(
                 4 * RUN_MILLIS, () -> neighbour.quarantine.onCompleted(List.of(poll)));
         entry.process.schedule(
                 RUN_MILLIS,
                 () -> {
-                    entry.quarantine.onCutOff(suspects, upstream, request, sent);
-                    if (entry.quarantine.isRequestRetryAllowed(request)) {
+                    if (cutOff(entry, request, parts, upstream, sent)) {
                         sendCrashing(entry, request, parts);
                     }
                 });
     }
 
+    private static boolean cutOff(
+            VirtualEntry entry, String request, List<String> parts, String upstream, long sent) {
+        return entry.quarantine.onCutOff(
+                new CutOff(request, parts, upstream, true, RUN_MILLIS, sent));
+    }
+
     private String anyPoll() {
         return "poll-" + random.nextInt(POLLS);
     }
--- a/jayturn-core/src/test/java/dev/jayturn/core/quarantine/QuarantineTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/quarantine/QuarantineTest.java
@@ -39,7 +39,7 @@
 
     /** A prompt of its own, as all prompts with a crashing part are. */
     private void crash(List<String> parts, String upstream) {
-        quarantine.onCutOff(parts, upstream, "request-" + ++requests, time.nowMillis() - 80);
+        quarantine.blame(parts, upstream, "request-" + ++requests, time.nowMillis() - 80);
         time.runFor(500);
     }
 
@@ -70,7 +70,7 @@
     @Test
     void upstreamsThatEndTogetherCountOnce() {
         for (int i = 0; i < 10; i++) {
-            quarantine.onCutOff(CRASHING, "u" + i, "request-" + i, time.nowMillis() - 80);
+            quarantine.blame(CRASHING, "u" + i, "request-" + i, time.nowMillis() - 80);
         }
         assertThat(quarantine.refusalMillis(CRASHING)).isZero();
     }
@@ -178,7 +178,7 @@
     }
 
     private void crashByOne(String request, String upstream, long sentMillis) {
-        quarantine.onCutOff(List.of(request, "p", "q"), upstream, request, sentMillis);
+        quarantine.blame(List.of(request, "p", "q"), upstream, request, sentMillis);
     }
 
     private boolean isRefused(String suspect) {
@@ -246,7 +246,7 @@
             time.runFor(500);
         }
         for (int i = 0; i < 3_000; i++) {
-            quarantine.onCutOff(List.of("once" + i), "v" + i, "once" + i, time.nowMillis());
+            quarantine.blame(List.of("once" + i), "v" + i, "once" + i, time.nowMillis());
         }
         assertThat(isRefused("r")).isTrue();
     }
@@ -274,14 +274,59 @@
 
     @Test
     void partIsNotRefusedIfOneRequestEndedWithAllOfItsUpstreams() {
-        quarantine.onCutOff(List.of("sound", "p"), "u0", "sound", time.nowMillis());
-        quarantine.onCutOff(List.of("r", "p"), "u0", "r", time.nowMillis());
+        quarantine.blame(List.of("sound", "p"), "u0", "sound", time.nowMillis());
+        quarantine.blame(List.of("r", "p"), "u0", "r", time.nowMillis());
         time.runFor(500);
         for (int i = 1; i < 3; i++) {
-            quarantine.onCutOff(List.of("r", "p"), "u" + i, "r", time.nowMillis());
+            quarantine.blame(List.of("r", "p"), "u" + i, "r", time.nowMillis());
             time.runFor(500);
         }
         assertThat(isRefused("r")).isTrue();
         assertThat(isRefused("p")).isFalse();
     }
+
+    private boolean cutOff(String request, String upstream, boolean beforeAnEvent, long ranMillis) {
+        return quarantine.onCutOff(
+                new CutOff(
+                        request,
+                        List.of("p"),
+                        upstream,
+                        beforeAnEvent,
+                        ranMillis,
+                        time.nowMillis() - ranMillis));
+    }
+
+    @Test
+    void requestThatHadRunForSecondsIsNotBlamed() {
+        for (int i = 0; i < 5; i++) {
+            assertThat(cutOff("r", "u" + i, false, Quarantine.MAX_CRASH_MILLIS + 1)).isTrue();
+            time.runFor(3_000);
+        }
+        assertThat(isRefused("r")).isFalse();
+    }
+
+    @Test
+    void requestThatHadJustBegunIsBlamedWithAndWithoutAResponse() {
+        cutOff("r", "u0", false, 80);
+        time.runFor(500);
+        cutOff("r", "u1", true, 80);
+        time.runFor(500);
+        cutOff("r", "u2", false, 80);
+        assertThat(isRefused("r")).isTrue();
+        assertThat(isRefused("p")).isFalse();
+    }
+
+    @Test
+    void partIsBlamedOnlyAfterAHeadAndBeforeAnEvent() {
+        for (int i = 0; i < 3; i++) {
+            cutOff("stream" + i, "u" + i, false, 80);
+            time.runFor(500);
+        }
+        assertThat(isRefused("p")).isFalse();
+        for (int i = 3; i < 6; i++) {
+            cutOff("stream" + i, "u" + i, true, 80);
+            time.runFor(500);
+        }
+        assertThat(isRefused("p")).isTrue();
+    }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/QuarantineCheck.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/QuarantineCheck.java
@@ -1,21 +1,15 @@
 package dev.jayturn.daemon.proxy;
 
 import dev.jayturn.core.dispatch.RequestProfile;
+import dev.jayturn.core.quarantine.CutOff;
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.result.ResultCode;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
-/** What the quarantine of requests that crash upstreams knows and learns of one request. */
+/** Passes one request and what becomes of it to the quarantine of requests that crash upstreams. */
 final class QuarantineCheck {
-    /**
-     * An upstream that ends later than this after it has begun a response does not end because of
-     * it, or because of a request that it has got, if there is no response.
-     */
-    private static final long MAX_CRASH_MILLIS = 1_500;
-
     private final Quarantine quarantine;
     private final RequestProfile profile;
     private final RequestFingerprint fingerprint;
@@ -89,17 +83,13 @@
      * @param sentMillis time when the request was sent
      */
     boolean onCutOff(String upstream, boolean beforeAnEvent, long ranMillis, long sentMillis) {
-        boolean isRequestSuspect = ranMillis <= MAX_CRASH_MILLIS;
-        String request = fingerprint();
-        List<String> suspects = new ArrayList<>();
-        if (isRequestSuspect) {
-            suspects.add(request);
-        }
-        if (beforeAnEvent) {
-            suspects.addAll(profile.sharedPartIds());
-        }
-        quarantine.onCutOff(suspects, upstream, request, sentMillis);
-        return (!isRequestSuspect || quarantine.isRequestRetryAllowed(request))
-                && (!beforeAnEvent || quarantine.isRetryAllowed(profile.sharedPartIds()));
+        return quarantine.onCutOff(
+                new CutOff(
+                        fingerprint(),
+                        profile.sharedPartIds(),
+                        upstream,
+                        beforeAnEvent,
+                        ranMillis,
+                        sentMillis));
     }
 }
