--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -129,7 +129,8 @@
                         upstreamRegistry,
                         dispatcher,
                         quarantine,
-                        retryBounds(settings));
+                        retryBounds(settings),
+                        FleetSettings.sourceAddress(settings));
         this.proxyServer = new ProxyServer(loop, forwarder);
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/FleetSettings.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/FleetSettings.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
 import dev.jayturn.core.dispatch.Location;
 import dev.jayturn.daemon.settings.SettingKey;
 import dev.jayturn.daemon.settings.Settings;
@@ -10,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** Converts fleet settings to the types that the processes use. */
 final class FleetSettings {
@@ -34,6 +36,12 @@
         return seeds;
     }
 
+    /** Returns the address that connections to upstreams come from; null if it is not set. */
+    static @Nullable InetSocketAddress sourceAddress(Settings settings) {
+        String source = settings.text(SettingKey.FLEET_SOURCE);
+        return source.isEmpty() ? null : new InetSocketAddress(InetAddresses.forString(source), 0);
+    }
+
     static Location location(Settings settings) {
         Map<String, String> regions = new HashMap<>();
         for (String pair : settings.list(SettingKey.FLEET_REGIONS)) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -21,6 +21,7 @@
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
@@ -65,6 +66,11 @@
      */
     public record RetryBounds(long windowMillis, double ratio, double slack) {}
 
+    /**
+     * Creates a forwarder.
+     *
+     * @param source address that connections to upstreams come from; null if the system chooses it
+     */
     public Forwarder(
             EventLoop loop,
             TimerService timers,
@@ -76,7 +82,8 @@
             UpstreamRegistry upstreams,
             Dispatcher dispatcher,
             Quarantine quarantine,
-            RetryBounds retryBounds) {
+            RetryBounds retryBounds,
+            @Nullable InetSocketAddress source) {
         this.timers = timers;
         this.codec = codec;
         this.random = random;
@@ -86,7 +93,7 @@
         this.linkMeter = new LinkMeter(linkLimiter);
         this.upstreams = upstreams;
         this.dispatcher = dispatcher;
-        this.pools = new UpstreamConnectionPools(loop, timers, codec, linkMeter);
+        this.pools = new UpstreamConnectionPools(loop, timers, codec, linkMeter, source);
         this.quarantine = quarantine;
         this.retryBounds = retryBounds;
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
@@ -17,6 +17,7 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
+import org.jspecify.annotations.Nullable;
 
 /** The open connections to one upstream, of which idle ones are reused. */
 final class UpstreamConnectionPool {
@@ -36,6 +37,7 @@
     private final HeaderCodec codec;
     private final LinkMeter meter;
     private final InetSocketAddress address;
+    private final @Nullable InetSocketAddress source;
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private int connectionCount;
 
@@ -44,12 +46,14 @@
             TimerService timers,
             HeaderCodec codec,
             LinkMeter meter,
-            InetSocketAddress address) {
+            InetSocketAddress address,
+            @Nullable InetSocketAddress source) {
         this.loop = loop;
         this.timers = timers;
         this.codec = codec;
         this.meter = meter;
         this.address = address;
+        this.source = source;
     }
 
     /** Returns the number of connections, including those that are being opened. */
@@ -80,7 +84,7 @@
             return;
         }
         connectionCount++;
-        ChannelFuture connecting = bootstrap().connect(address);
+        ChannelFuture connecting = bootstrap().connect(address, source);
         connecting.addListener(
                 done -> {
                     if (!done.isSuccess()) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPools.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPools.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** The connection pools of all upstreams, by address. */
 final class UpstreamConnectionPools {
@@ -17,14 +18,20 @@
     private final TimerService timers;
     private final HeaderCodec codec;
     private final LinkMeter meter;
+    private final @Nullable InetSocketAddress source;
     private final Map<String, UpstreamConnectionPool> poolsByAddress = new HashMap<>();
 
     UpstreamConnectionPools(
-            EventLoop loop, TimerService timers, HeaderCodec codec, LinkMeter meter) {
+            EventLoop loop,
+            TimerService timers,
+            HeaderCodec codec,
+            LinkMeter meter,
+            @Nullable InetSocketAddress source) {
         this.loop = loop;
         this.timers = timers;
         this.codec = codec;
         this.meter = meter;
+        this.source = source;
         timers.every(SWEEP_INTERVAL_MILLIS, this::closeExpiredConnections);
     }
 
@@ -38,7 +45,7 @@
                 new InetSocketAddress(
                         address.substring(0, colon),
                         Integer.parseInt(address.substring(colon + 1)));
-        return new UpstreamConnectionPool(loop, timers, codec, meter, socketAddress);
+        return new UpstreamConnectionPool(loop, timers, codec, meter, socketAddress, source);
     }
 
     /** Closes the idle connections to an upstream that accepts no new requests. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
@@ -64,6 +64,14 @@
     FLEET_RETRY_SLACK(
             "fleet", "retry-slack", Type.DECIMAL, "50", 0, 1000000, "retries beside the ratio"),
     FLEET_RETRY_WINDOW("fleet", "retry-window", Type.DECIMAL, "10", 1, 600, "seconds"),
+    FLEET_SOURCE(
+            "fleet",
+            "source",
+            Type.TEXT,
+            "",
+            0,
+            0,
+            "IP address that connections to upstreams come from; chosen by the system if empty"),
     FLEET_TRUSTED_PARTS(
             "fleet",
             "trusted-parts",
