Say that a version is not known instead of that it is gone

A resumption of a stream whose origin is recorded as unknown (an upstream that names no version, or two versions under one id) was refused with 4016, no upstream of the version that began this stream is left. It was not true: nobody knows the version. Now 4017; the decision moved from Exchange to ServiceSelector. ResumedStreamVersionTest.streamOfAnUpstreamWithoutAVersionIsRefusedAsUnknown fails with the old code and passes.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ServiceSelector.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ServiceSelector.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.configuration.Route;
 import dev.jayturn.core.configuration.ServiceWeight;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StreamOrigin;
 import java.util.List;
 
@@ -15,12 +16,16 @@
 
     private ServiceSelector() {}
 
-    /** Returns whether a route allows that a stream goes on at the service that began it. */
-    public static boolean isAllowed(Route route, StreamOrigin origin) {
-        return route.serviceWeights().stream()
-                .anyMatch(
-                        service ->
-                                service.weight() > 0 && service.service().equals(origin.service()));
+    /** Returns OK if a route lets a stream go on at the service that began it, or why not. */
+    public static ResultCode checkResumption(Route route, StreamOrigin origin) {
+        if (!origin.isKnown()) {
+            return ResultCode.STREAM_UNKNOWN;
+        }
+        boolean isAllowed =
+                route.serviceWeights().stream()
+                        .filter(service -> service.weight() > 0)
+                        .anyMatch(service -> service.service().equals(origin.service()));
+        return isAllowed ? ResultCode.OK : ResultCode.STREAM_VERSION_GONE;
     }
 
     /** Returns the name of a service selected at random. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -169,8 +169,9 @@
             return;
         }
         log.logResumption(request, origin, forwarder.timers().nowMillis() - receivedMillis);
-        if (!ServiceSelector.isAllowed(currentRoute, origin)) {
-            refuse(ResultCode.STREAM_VERSION_GONE, 0);
+        ResultCode code = ServiceSelector.checkResumption(currentRoute, origin);
+        if (code != ResultCode.OK) {
+            refuse(code, 0);
             return;
         }
         stream.setOrigin(origin);
