Never dispatch a prepaid request without a reservation

After the reservation had moved behind the search for a stream's origin, a request would have gone on without one if the entry instance had been missing by then. It is set once and never taken back, so no request was affected and no test can show it; the request is now refused as not ready. Found by reading. The creation of reservations moved to Forwarder, the elapsed time has one place.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -57,7 +57,7 @@
     private final StreamProgress stream;
     private final StreamRecord streamRecord;
     private @Nullable Route route;
-    private @Nullable Customer payer;
+    private boolean prepaid;
     private @Nullable Service service;
     private @Nullable TokenReservation tokenReservation;
     private @Nullable Cancellable timeoutTimer;
@@ -133,7 +133,7 @@
                 refuse(ResultCode.UNAUTHORIZED, 0);
                 return;
             }
-            payer = matchedCustomer;
+            prepaid = matchedCustomer.prepaidTokens().isPresent();
             customer = matchedCustomer.name();
             priority = matchedCustomer.priority() * ROUTE_PRIORITIES + matchedRoute.priority();
         }
@@ -148,14 +148,14 @@
             return;
         }
         long timeoutMillis = matchedRoute.timeoutMillis();
-        long elapsedMillis = forwarder.timers().nowMillis() - receivedMillis;
         if (request.timeoutMillis() > 0) {
             timeoutMillis = Math.min(timeoutMillis, request.timeoutMillis());
         }
         deadlineMillis = receivedMillis + timeoutMillis;
-        timeoutTimer = forwarder.timers().schedule(timeoutMillis - elapsedMillis, this::onTimeout);
+        timeoutTimer =
+                forwarder.timers().schedule(timeoutMillis - elapsedMillis(), this::onTimeout);
         if (matchedRoute.kind() == RequestKind.STREAM && stream.isResumed()) {
-            streamRecord.find(customer, timeoutMillis - elapsedMillis, this);
+            streamRecord.find(customer, timeoutMillis - elapsedMillis(), this);
         } else {
             reserveTokens();
         }
@@ -168,7 +168,7 @@
         if (ended || table == null || currentRoute == null) {
             return;
         }
-        log.logResumption(request, origin, forwarder.timers().nowMillis() - receivedMillis);
+        log.logResumption(request, origin, elapsedMillis());
         ResultCode code = ServiceSelector.checkResumption(currentRoute, origin);
         if (code != ResultCode.OK) {
             refuse(code, 0);
@@ -182,13 +182,16 @@
     @Override
     public void onNotFound(boolean isCertain) {
         if (!ended) {
-            long waitedMillis = forwarder.timers().nowMillis() - receivedMillis;
-            log.logUnknownStream(request, isCertain, waitedMillis);
+            log.logUnknownStream(request, isCertain, elapsedMillis());
             // The instance that began the stream may not have sent its record yet.
             refuse(ResultCode.STREAM_UNKNOWN, DEFAULT_RETRY_AFTER_MILLIS);
         }
     }
 
+    private long elapsedMillis() {
+        return forwarder.timers().nowMillis() - receivedMillis;
+    }
+
     private void recordOrigin(StreamOrigin origin) {
         Route currentRoute = route;
         if (currentRoute != null) {
@@ -198,28 +201,24 @@
 
     private void reserveTokens() {
         EntryInstance instance = forwarder.entryInstance();
-        Customer currentPayer = payer;
         long maxTokens = request.profile().maxTokens();
-        boolean isPrepaid = currentPayer != null && currentPayer.prepaidTokens().isPresent();
-        if (instance == null || !isPrepaid || maxTokens == 0) {
+        if (instance == null) {
+            refuse(ResultCode.NOT_READY, DEFAULT_RETRY_AFTER_MILLIS);
+            return;
+        }
+        if (!prepaid || maxTokens == 0) {
             onReserved();
             return;
         }
         TokenReservation reservation =
-                new TokenReservation(
-                        forwarder.timers(),
-                        forwarder.tokenWaitQueue(),
-                        instance,
-                        customer,
-                        maxTokens,
-                        this);
+                forwarder.createReservation(instance, customer, maxTokens, this);
         tokenReservation = reservation;
         reservation.reserve();
     }
 
     @Override
     public void onReserved() {
-        log.recordTokenWait(forwarder.timers().nowMillis() - receivedMillis);
+        log.recordTokenWait(elapsedMillis());
         Service target = service;
         if (target != null) {
             forwarder.retryBudget(target.name()).recordRequest();
@@ -318,7 +317,7 @@
      * response resumes a stream.
      */
     void onResponseHead(HttpResponse response, boolean success) {
-        log.recordFirstByte(forwarder.timers().nowMillis() - receivedMillis);
+        log.recordFirstByte(elapsedMillis());
         if (stream.hasBegun()) {
             return;
         }
@@ -489,7 +488,7 @@
                 code,
                 route == null ? "" : route.name(),
                 customer,
-                forwarder.timers().nowMillis() - receivedMillis,
+                elapsedMillis(),
                 history.sendCount(),
                 eventCount);
         stream.release();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -182,8 +182,13 @@
         return quarantine;
     }
 
-    RetryQueue tokenWaitQueue() {
-        return tokenWaitQueue;
+    /** Creates a reservation that waits, if tokens are short, with those of other requests. */
+    TokenReservation createReservation(
+            EntryInstance instance,
+            String customer,
+            long tokens,
+            TokenReservation.Callback callback) {
+        return new TokenReservation(timers, tokenWaitQueue, instance, customer, tokens, callback);
     }
 
     RetryQueue permitWaitQueue() {
