--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 115 java -Xmx256m -cp target/review EarlyReset review/3
+timeout -k 10 105 java -Xmx256m -cp target/review EarlyReset review/3
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/lab/Fleet.java
+++ b/review/lab/Fleet.java
@@ -110,6 +110,8 @@
         readyPort = ports.get(2);
         controlPort = ports.get(3);
         metricsPort = ports.get(4);
+        // Ends the processes also if the script is terminated.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         String[] zones = {"mauricie-a", "mauricie-b", "estrie-a"};
         for (int i = 0; i < 3; i++) {
             controls.add(new Node("control", "127.0.1." + (i + 1), zones[i]));
@@ -277,16 +279,24 @@
         }
     }
 
-    @Override
-    public void close() throws IOException, InterruptedException {
+    private void endProcesses() {
         List<Node> all = new ArrayList<>(entries);
         all.addAll(controls);
         for (Node node : all) {
             if (node.process != null) {
                 node.process.destroyForcibly();
-                node.process.waitFor(20, TimeUnit.SECONDS);
+                try {
+                    node.process.waitFor(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
             }
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        endProcesses();
         if (System.getenv("KEEP") == null) {
             delete(folder.toFile());
         } else {
