--- a/review/lab/ExtraBytes.java
+++ b/review/lab/ExtraBytes.java
@@ -19,7 +19,7 @@
 final class ExtraBytes {
     private static final int RUNNERS = 3;
     private static final int FAULTY_RUNNERS = 2;
-    private static final int CLIENTS = 6;
+    private static final int CLIENTS = 12;
     private static final long WORK_MILLIS = 86;
     private static final long LOAD_MILLIS = 9_000;
     private static final long TROUBLE_MILLIS = 5_000;
