--- a/review/lab/LongBodies.java
+++ b/review/lab/LongBodies.java
@@ -22,13 +22,13 @@
     private static final int LONG_REQUESTS = 24;
     private static final int SHORT_CLIENTS = 20;
     private static final int REQUESTS_OF_A_CLIENT = 10;
-    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long TIMEOUT_MILLIS = 2_500;
     private static final long ALLOWANCE_MILLIS = 500;
     private static final int MIN_LATE = 8;
     private static final String CONFIGURATION =
             "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"ficu95.example\","
                     + "\"path_prefix\":\"/post/\",\"kind\":\"non_idempotent\","
-                    + "\"timeout_ms\":5000,\"goal_ms\":486,\"priority\":0,\"service\":\"s\","
+                    + "\"timeout_ms\":2500,\"goal_ms\":486,\"priority\":0,\"service\":\"s\","
                     + "\"max_attempts\":1,\"public\":true,\"sticky\":false}],"
                     + "\"services\":[{\"name\":\"s\",\"health_path\":\"/health\","
                     + "\"max_conns\":360,\"protocol\":\"h1\",\"tls\":false}],"
