--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlComponents.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlComponents.java
@@ -48,8 +48,10 @@
         Path folder = Path.of(settings.text(SettingKey.DATA_FOLDER));
         String name = settings.text(SettingKey.INSTANCE_NAME);
         String id = name + "#" + StoreIdentity.readOrCreate(folder);
-        controlJournal = new FileJournal(folder.resolve(CONTROL_JOURNAL_FILE), loop);
-        ledgerJournal = new FileJournal(folder.resolve(LEDGER_JOURNAL_FILE), loop);
+        controlJournal =
+                new FileJournal(folder.resolve(CONTROL_JOURNAL_FILE), loop, (cause, pending) -> {});
+        ledgerJournal =
+                new FileJournal(folder.resolve(LEDGER_JOURNAL_FILE), loop, (cause, pending) -> {});
         ControlState state = new ControlState();
         List<String> seeds = new ArrayList<>(settings.controlAddresses().keySet());
         seeds.remove(name);
@@ -106,6 +108,10 @@
         return controlJournal.syncCount() + ledgerJournal.syncCount();
     }
 
+    long journalPendingMillis() {
+        return Math.max(controlJournal.pendingMillis(), ledgerJournal.pendingMillis());
+    }
+
     int openIntentCount() {
         return controlNode.ledger().state().openIntents().size();
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/Daemon.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/Daemon.java
@@ -161,6 +161,10 @@
         ControlComponents control = components.controlComponents();
         if (control != null) {
             registry.gauge("jayturn.journal.syncs", control, ControlComponents::journalSyncCount);
+            registry.gauge(
+                    "jayturn.journal.pending.millis",
+                    control,
+                    ControlComponents::journalPendingMillis);
             registry.gauge("jayturn.intents.open", control, ControlComponents::openIntentCount);
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -27,6 +27,7 @@
 import dev.jayturn.daemon.link.EventLoopTimers;
 import dev.jayturn.daemon.link.LinkMeter;
 import dev.jayturn.daemon.link.LinkTransport;
+import dev.jayturn.daemon.loop.LoopDelayMeter;
 import dev.jayturn.daemon.loop.ThreadLocalRandomSource;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import dev.jayturn.daemon.settings.SettingKey;
@@ -133,7 +134,7 @@
                 founders.add(seed + '#' + FOUNDER_STORE_ID);
             }
         }
-        FileJournal journal = new FileJournal(folder.resolve(LOG_FILE), loop);
+        FileJournal journal = new FileJournal(folder.resolve(LOG_FILE), loop, new JournalLog(log));
         RaftConfig config =
                 new RaftConfig(
                         self + '#' + storeId,
@@ -165,7 +166,7 @@
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
-        serveMetrics(raft);
+        serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
         log.event(
                 "control.started",
                 json -> {
@@ -175,7 +176,11 @@
                 });
     }
 
-    private void serveMetrics(RaftNode raft) {
+    private void serveMetrics(RaftNode raft, FileJournal journal, LoopDelayMeter loopDelay) {
+        metrics.registerGauge("jayturn.loop.delay.millis", loopDelay::maxDelayMillis);
+        metrics.registerGauge("jayturn.journal.failed.millis", journal::failedMillis);
+        metrics.registerGauge("jayturn.journal.pending.millis", journal::pendingMillis);
+        metrics.registerGauge("jayturn.journal.last.durable.millis", journal::lastDurableMillis);
         metrics.registerGauge("jayturn.control.leads", () -> raft.isLeader() ? 1 : 0);
         metrics.registerGauge("jayturn.control.members", () -> raft.members().size());
         metrics.registerGauge("jayturn.control.voters", () -> voterCount(raft));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -31,6 +31,7 @@
 import dev.jayturn.daemon.link.EventLoopTimers;
 import dev.jayturn.daemon.link.LinkTransport;
 import dev.jayturn.daemon.link.ServerSockets;
+import dev.jayturn.daemon.loop.LoopDelayMeter;
 import dev.jayturn.daemon.loop.ThreadLocalRandomSource;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import dev.jayturn.daemon.proxy.Forwarder;
@@ -191,6 +192,8 @@
     }
 
     private void serveMetrics(EntryInstance entry, UpstreamRateLimiter limiter) {
+        LoopDelayMeter loopDelay = LoopDelayLog.start(timers, log);
+        metrics.registerGauge("jayturn.loop.delay.millis", loopDelay::maxDelayMillis);
         metrics.registerGauge("jayturn.requests.open", forwarder::openRequests);
         metrics.registerGauge("jayturn.connections.callers", proxyServer::connectionCount);
         metrics.registerGauge("jayturn.link.sent.share", linkLimiter::sentShare);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
@@ -16,7 +16,9 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A journal in one file with group commit: a writer thread writes all queued operations, syncs once
@@ -29,16 +31,29 @@
 
     private final Path file;
     private final Executor callbackExecutor;
+    private final JournalListener listener;
     private final LinkedBlockingQueue<Operation> queue = new LinkedBlockingQueue<>();
     private final Thread writerThread;
     private final List<JournalRecord> recovered;
-    private FileChannel channel;
+    private final JournalFile.Opener opener;
+    private JournalFile openFile;
     private long recordsSinceRewrite;
     private volatile boolean failed;
     private final AtomicLong syncCount = new AtomicLong();
     private volatile boolean closed;
 
-    private record Operation(byte[] bytes, boolean replacesFile, Runnable onDurable) {}
+    /** The oldest operation of the group that is being written, or whose writing failed. */
+    private volatile @Nullable Operation oldestInWork;
+
+    private volatile long lastDurableNanos = System.nanoTime();
+    private volatile long failedNanos;
+
+    private record Operation(
+            byte[] bytes, boolean replacesFile, Runnable onDurable, long queuedNanos) {
+        Operation(byte[] bytes, boolean replacesFile, Runnable onDurable) {
+            this(bytes, replacesFile, onDurable, System.nanoTime());
+        }
+    }
 
     /**
      * Opens or creates a journal; truncates a torn tail.
@@ -47,23 +62,27 @@
      * @throws IOException if the file cannot be used
      * @throws JournalCorruptException if a record before the tail is damaged
      */
-    public FileJournal(Path file, Executor callbackExecutor)
+    public FileJournal(Path file, Executor callbackExecutor, JournalListener listener)
+            throws IOException, JournalCorruptException {
+        this(file, callbackExecutor, listener, JournalFile::open);
+    }
+
+    FileJournal(
+            Path file,
+            Executor callbackExecutor,
+            JournalListener listener,
+            JournalFile.Opener opener)
             throws IOException, JournalCorruptException {
         this.file = file;
         this.callbackExecutor = callbackExecutor;
+        this.listener = listener;
         Files.deleteIfExists(temporaryFile());
-        this.channel =
-                FileChannel.open(
-                        file,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.READ,
-                        StandardOpenOption.WRITE);
+        this.opener = opener;
         JournalReader reader = new JournalReader(file);
         this.recovered = reader.records();
         this.recordsSinceRewrite = recovered.size();
-        channel.truncate(reader.validBytes());
-        channel.position(reader.validBytes());
-        channel.force(true);
+        this.openFile = opener.open(file, reader.validBytes());
+        openFile.sync();
         this.writerThread = new Thread(this::writeLoop, "journal-" + file.getFileName());
         this.writerThread.setDaemon(true);
         this.writerThread.start();
@@ -81,6 +100,29 @@
         return failed;
     }
 
+    /** Returns the time since the first failure, in milliseconds; 0 if there is none. */
+    public long failedMillis() {
+        return failed ? millisSince(failedNanos) : 0;
+    }
+
+    /** Returns the age of the oldest operation that is not durable; 0 if all are. */
+    public long pendingMillis() {
+        Operation oldest = oldestInWork;
+        if (oldest == null) {
+            oldest = queue.peek();
+        }
+        return oldest == null ? 0 : millisSince(oldest.queuedNanos());
+    }
+
+    /** Returns the time since an operation last became durable, or since opening. */
+    public long lastDurableMillis() {
+        return millisSince(lastDurableNanos);
+    }
+
+    private static long millisSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
     /** Returns the number of syncs after opening. */
     public long syncCount() {
         return syncCount.get();
@@ -127,10 +169,15 @@
             try {
                 group.add(queue.take());
                 queue.drainTo(group, MAX_GROUP_OPERATIONS);
+                oldestInWork = group.get(0);
                 writeGroup(group);
+                oldestInWork = null;
+                lastDurableNanos = System.nanoTime();
                 callbackExecutor.execute(acknowledgement(new ArrayList<>(group)));
             } catch (IOException e) {
+                failedNanos = System.nanoTime();
                 failed = true;
+                callbackExecutor.execute(() -> listener.onFailed(e, pendingMillis()));
                 LOGGER.atSevere().withCause(e).log(
                         "journal: %s failed with code %d; no further records are acknowledged.",
                         file, ResultCode.JOURNAL_FAILED.number());
@@ -176,28 +223,20 @@
             buffer.put(operation.bytes());
         }
         buffer.flip();
-        while (buffer.hasRemaining()) {
-            channel.write(buffer);
-        }
-        channel.force(false);
+        openFile.append(buffer);
+        openFile.sync();
         syncCount.incrementAndGet();
     }
 
     private void replaceFile(byte[] bytes) throws IOException {
-        try (FileChannel out =
-                FileChannel.open(
-                        temporaryFile(), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-            ByteBuffer buffer = ByteBuffer.wrap(bytes);
-            while (buffer.hasRemaining()) {
-                out.write(buffer);
-            }
-            out.force(true);
+        try (JournalFile out = opener.open(temporaryFile(), 0)) {
+            out.append(ByteBuffer.wrap(bytes));
+            out.sync();
         }
-        channel.close();
+        openFile.close();
         Files.move(temporaryFile(), file, StandardCopyOption.ATOMIC_MOVE);
         syncParentFolder(file);
-        channel = FileChannel.open(file, StandardOpenOption.WRITE);
-        channel.position(channel.size());
+        openFile = opener.open(file, bytes.length);
         syncCount.incrementAndGet();
     }
 
@@ -224,6 +263,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        channel.close();
+        openFile.close();
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/JournalReader.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/JournalReader.java
@@ -15,7 +15,8 @@
     private final long validBytes;
 
     JournalReader(Path file) throws IOException, JournalCorruptException {
-        ByteBuffer buffer = ByteBuffer.wrap(Files.readAllBytes(file));
+        ByteBuffer buffer =
+                ByteBuffer.wrap(Files.exists(file) ? Files.readAllBytes(file) : new byte[0]);
         byte[] body = JournalFormat.decodeNext(buffer);
         while (body != null) {
             records.add(MessageCodec.decodeRecord(body));
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FileJournalTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FileJournalTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 final class FileJournalTest {
+    private static final JournalListener LISTENER = (cause, pendingMillis) -> {};
+
     @TempDir private Path folder;
     private Path journalFile;
 
@@ -32,7 +34,7 @@
     }
 
     private void appendRecords(int from, int to) throws Exception {
-        try (FileJournal journal = new FileJournal(journalFile, Runnable::run)) {
+        try (FileJournal journal = new FileJournal(journalFile, Runnable::run, LISTENER)) {
             CountDownLatch durable = new CountDownLatch(to - from);
             for (int i = from; i < to; i++) {
                 journal.append(record(i), durable::countDown);
@@ -42,7 +44,7 @@
     }
 
     private List<JournalRecord> recoverRecords() throws Exception {
-        try (FileJournal journal = new FileJournal(journalFile, Runnable::run)) {
+        try (FileJournal journal = new FileJournal(journalFile, Runnable::run, LISTENER)) {
             return journal.takeRecovered();
         }
     }
@@ -89,7 +91,7 @@
 
     @Test
     void rewriteReplacesEarlierRecordsAndKeepsLaterOnes() throws Exception {
-        try (FileJournal journal = new FileJournal(journalFile, Runnable::run)) {
+        try (FileJournal journal = new FileJournal(journalFile, Runnable::run, LISTENER)) {
             CountDownLatch durable = new CountDownLatch(1);
             journal.append(record(7), () -> {});
             journal.rewrite(List.of(record(0), record(1)));
@@ -109,7 +111,7 @@
 
     @Test
     void missingFolderFailsToOpen() {
-        assertThatThrownBy(() -> new FileJournal(folder.resolve("no/j"), Runnable::run))
+        assertThatThrownBy(() -> new FileJournal(folder.resolve("no/j"), Runnable::run, LISTENER))
                 .isInstanceOf(IOException.class);
     }
 
