--- /dev/null
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FailingDisk.java
@@ -0,0 +1,67 @@
+package dev.jayturn.daemon.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+
+/** Files whose writes or syncs fail while the disk is full or faulty. */
+final class FailingDisk implements JournalFile.Opener {
+    private volatile boolean full;
+    private volatile boolean syncsFail;
+    private volatile boolean opensFail;
+
+    /** Lets each write store half of its bytes and fail. */
+    void setFull(boolean isFull) {
+        full = isFull;
+    }
+
+    /** Lets each sync fail and lose what was written since the one before. */
+    void setSyncsFail(boolean fail) {
+        syncsFail = fail;
+    }
+
+    /** Lets no file be opened. */
+    void setOpensFail(boolean fail) {
+        opensFail = fail;
+    }
+
+    @Override
+    public JournalFile open(Path path, long length) throws IOException {
+        if (opensFail) {
+            throw new IOException("the file cannot be opened");
+        }
+        JournalFile file = JournalFile.open(path, length);
+        return new JournalFile() {
+            private long syncedBytes = length;
+
+            @Override
+            public void append(ByteBuffer bytes) throws IOException {
+                if (full) {
+                    bytes.limit(bytes.position() + bytes.remaining() / 2);
+                    file.append(bytes);
+                    throw new IOException("no space left");
+                }
+                file.append(bytes);
+            }
+
+            @Override
+            public void sync() throws IOException {
+                byte[] written = Files.readAllBytes(path);
+                if (syncsFail) {
+                    Arrays.fill(written, (int) syncedBytes, written.length, (byte) 0);
+                    Files.write(path, written);
+                    throw new IOException("the sync failed");
+                }
+                file.sync();
+                syncedBytes = written.length;
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FailingDiskTest.java
@@ -0,0 +1,141 @@
+package dev.jayturn.daemon.journal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.core.budget.IntentClosed;
+import dev.jayturn.core.journal.JournalRecord;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(60)
+final class FailingDiskTest {
+    private static final long DURABLE_SECONDS = 5;
+
+    @TempDir private Path folder;
+    private final FailingDisk disk = new FailingDisk();
+    private final CountDownLatch failed = new CountDownLatch(1);
+    private final List<Integer> durable = new CopyOnWriteArrayList<>();
+    private Path file;
+    private FileJournal journal;
+
+    @BeforeEach
+    void openJournal() throws Exception {
+        file = folder.resolve("j");
+        journal =
+                new FileJournal(
+                        file, Runnable::run, (cause, pendingMillis) -> failed.countDown(), disk);
+    }
+
+    @AfterEach
+    void closeJournal() throws IOException {
+        journal.close();
+    }
+
+    private static JournalRecord record(int number) {
+        return new IntentClosed("i" + number, number);
+    }
+
+    private void append(int number) {
+        journal.append(record(number), () -> durable.add(number));
+    }
+
+    private boolean becomesDurable() throws InterruptedException {
+        CountDownLatch latch = new CountDownLatch(1);
+        journal.whenDurable(latch::countDown);
+        return latch.await(DURABLE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private List<JournalRecord> recover() throws Exception {
+        journal.close();
+        try (FileJournal reopened =
+                new FileJournal(file, Runnable::run, (cause, pendingMillis) -> {})) {
+            return reopened.takeRecovered();
+        }
+    }
+
+    private static List<JournalRecord> records(int count) {
+        List<JournalRecord> records = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            records.add(record(i));
+        }
+        return records;
+    }
+
+    @Test
+    @Tag("known-red")
+    void recordsBecomeDurableOnceTheDiskHasRoomAgain() throws Exception {
+        append(0);
+        assertThat(becomesDurable()).isTrue();
+        disk.setFull(true);
+        append(1);
+        failed.await();
+        append(2);
+        assertThat(durable).containsExactly(0);
+        assertThat(journal.isFailed()).isTrue();
+        disk.setFull(false);
+        assertThat(becomesDurable()).isTrue();
+        assertThat(durable).containsExactly(0, 1, 2);
+        assertThat(journal.isFailed()).isFalse();
+        assertThat(recover()).isEqualTo(records(3));
+    }
+
+    @Test
+    @Tag("known-red")
+    void recordsOfAFailedSyncAreWrittenAgain() throws Exception {
+        append(0);
+        assertThat(becomesDurable()).isTrue();
+        disk.setSyncsFail(true);
+        append(1);
+        failed.await();
+        assertThat(durable).containsExactly(0);
+        disk.setSyncsFail(false);
+        append(2);
+        assertThat(becomesDurable()).isTrue();
+        assertThat(durable).containsExactly(0, 1, 2);
+        assertThat(recover()).isEqualTo(records(3));
+    }
+
+    @Test
+    @Tag("known-red")
+    void rewriteThatFailsIsRepeated() throws Exception {
+        append(7);
+        assertThat(becomesDurable()).isTrue();
+        Files.createDirectory(folder.resolve("j.new"));
+        journal.rewrite(List.of(record(0), record(1)));
+        failed.await();
+        append(2);
+        Files.delete(folder.resolve("j.new"));
+        assertThat(becomesDurable()).isTrue();
+        assertThat(recover()).isEqualTo(records(3));
+    }
+
+    @Test
+    @Tag("known-red")
+    void fileThatCannotBeOpenedAfterARewriteIsOpenedLater() throws Exception {
+        append(7);
+        assertThat(becomesDurable()).isTrue();
+        disk.setSyncsFail(true);
+        append(8);
+        failed.await();
+        disk.setOpensFail(true);
+        disk.setSyncsFail(false);
+        journal.rewrite(List.of(record(0)));
+        append(1);
+        Thread.sleep(200);
+        disk.setOpensFail(false);
+        assertThat(becomesDurable()).isTrue();
+        assertThat(recover()).isEqualTo(records(2));
+    }
+}
