Show where a confirmed configuration stands: calls, versions, messages not handled

No change of logic: messages that are not handled still end the connection.

Control instances log each operators' call that they forward, with its id, and who answered it, with which version and whether a majority confirmed it. They log an entry instance that has reported an older version for 2 s, and when it has caught up, and serve the number of those behind and the lowest version reported. Entry instances serve the newest version named to them, the version that they report as held and the one that they obey. Messages of unknown kinds, unreadable ones and those whose handler failed are counted, and logged with the peer, at most one line a second. The answer to a call names its sender in an optional last component, which other builds ignore.

ConfigurationLagTest, MessageCodecTest (unknown types, answer of an older build).

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
@@ -24,6 +24,7 @@
     private final Transport transport;
     private final TimerService timers;
     private final Map<Long, PendingCall> pending = new HashMap<>();
+    private ConfigurationListener listener = ConfigurationListener.NONE;
     private long lastId;
 
     private static final class PendingCall {
@@ -52,6 +53,10 @@
         this.timers = timers;
     }
 
+    void setListener(ConfigurationListener newListener) {
+        listener = newListener;
+    }
+
     /** Puts a configuration in force; version 0 reads the newest one. */
     void submit(PutConfiguration put, ConfigurationCallback callback) {
         long id = ++lastId;
@@ -72,6 +77,7 @@
         String leader = raft.leader();
         if (!leader.isEmpty() && !leader.equals(call.sentTo)) {
             call.sentTo = leader;
+            listener.onCallForwarded(id, call.put.version(), leader);
             PutConfiguration put = call.put;
             byte[] document = put.version() == 0 ? null : put.document();
             transport.send(
@@ -122,7 +128,8 @@
                         call.id(),
                         sure,
                         current.version(),
-                        isRead ? current.document() : new byte[0]));
+                        isRead ? current.document() : new byte[0],
+                        self));
     }
 
     private void onAnswer(ConfigurationAnswer answer) {
@@ -130,6 +137,7 @@
         if (call == null) {
             return;
         }
+        listener.onCallAnswered(answer);
         if (!answer.sure()) {
             // Allows the next attempt to resend, to this leader or to another one.
             call.sentTo = "";
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -19,10 +19,12 @@
 import dev.jayturn.core.transport.Transport;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -82,6 +84,7 @@
     private final EvidenceSharing evidenceSharing;
     private final RateSharing rateSharing;
     private final OriginStore streamOrigins;
+    private final ConfigurationLag configurationLag = new ConfigurationLag();
     private final Map<String, EntryInstanceState> entries = new LinkedHashMap<>();
     private List<Peer> peers = List.of();
     private List<Peer> candidatePeers = List.of();
@@ -187,6 +190,22 @@
         raft.setSeeds(addresses);
     }
 
+    /** Sets the listener that learns how calls are answered and which entry instances lag. */
+    public void setConfigurationListener(ConfigurationListener listener) {
+        configurationCalls.setListener(listener);
+        configurationLag.setListener(listener);
+    }
+
+    /** Returns the lowest version that a live entry instance reports; empty if there is none. */
+    public OptionalLong lowestEntryVersion() {
+        return configurationLag.lowestVersion();
+    }
+
+    /** Returns the number of live entry instances that report an older configuration. */
+    public int entriesBehind() {
+        return configurationLag.behindCount();
+    }
+
     /** Returns the number of streams whose origin this instance has a record of. */
     public int recordedStreams() {
         return streamOrigins.size();
@@ -223,6 +242,7 @@
         long now = timers.nowMillis();
         reportQuorumChanges();
         adoptStablePeers(now);
+        configurationLag.update(liveVersions(), state.configuration().version(), now);
         if (raft.isLeader()) {
             sliceCoordinator.plan(entries, liveEntries(), peers, timers.nowMillis());
         }
@@ -281,6 +301,17 @@
         return live;
     }
 
+    private Map<String, Long> liveVersions() {
+        Map<String, Long> versions = new HashMap<>();
+        entries.forEach(
+                (address, entry) -> {
+                    if (isLive(entry)) {
+                        versions.put(address, entry.configurationVersion);
+                    }
+                });
+        return versions;
+    }
+
     private List<Peer> livePeers() {
         List<Peer> live = new ArrayList<>();
         entries.forEach(
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -69,6 +69,7 @@
     private String leader = "";
     private long lastLeaderUpdateMillis = Long.MIN_VALUE / 2;
     private long configurationVersion;
+    private long newestVersion;
     private int entryCount = 1;
     private int knownPeersHash;
     private long lastReportMillis;
@@ -156,6 +157,16 @@
         return slices;
     }
 
+    /** Returns the version of the configuration that this instance reports as its own. */
+    public long configurationVersion() {
+        return configurationVersion;
+    }
+
+    /** Returns the highest version that a control instance has named as being in force. */
+    public long newestVersion() {
+        return newestVersion;
+    }
+
     /** Returns the number of live entry instances in the last update, at least 1. */
     public int entryCount() {
         return entryCount;
@@ -322,6 +333,7 @@
             // Otherwise an earlier update was lost, and the next report asks for its changes again.
             control.tableRevision = Math.max(control.tableRevision, update.tableRevision());
         }
+        newestVersion = Math.max(newestVersion, update.version());
         byte[] document = update.document();
         if (document != null && update.version() > configurationVersion) {
             configurationVersion = update.version();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -119,6 +119,7 @@
                         metrics,
                         // Capacity 0 means unknown; the limiter then admits every request.
                         new LinkMeter(new LinkLimiter(timers, 0)),
+                        log,
                         this::onMessage);
         Path folder = Path.of(settings.text(SettingKey.FLEET_DATA_FOLDER));
         Files.createDirectories(folder);
@@ -163,10 +164,15 @@
                         System::currentTimeMillis,
                         this::logRetirement,
                         new QuorumLog(log));
+        controlInstance.setConfigurationListener(new ConfigurationLog(log));
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
         serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
+        logStart(self, storeId);
+    }
+
+    private void logStart(String self, String storeId) {
         log.event(
                 "control.started",
                 json -> {
@@ -192,6 +198,11 @@
                 () -> leaderValue(raft, QuorumStatus::toleratedLosses));
         metrics.registerGauge(
                 "jayturn.configuration.version", () -> fleetState.configuration().version());
+        metrics.registerGauge(
+                "jayturn.configuration.entries.lowest",
+                () -> requireStarted().lowestEntryVersion().orElse(0));
+        metrics.registerGauge(
+                "jayturn.configuration.entries.behind", () -> requireStarted().entriesBehind());
         metrics.registerGauge("jayturn.streams.recorded", this::recordedStreams);
         metrics.registerGauge("jayturn.slice.holders", () -> fleetState.slices().holders().size());
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -152,7 +152,7 @@
         String self = FleetSettings.linkAddress(settings);
         LinkTransport transport =
                 new LinkTransport(
-                        self, loop, timers, metrics, forwarder.linkMeter(), this::onMessage);
+                        self, loop, timers, metrics, forwarder.linkMeter(), log, this::onMessage);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         EntryInstance entry =
                 new EntryInstance(
@@ -203,6 +203,9 @@
         metrics.registerGauge("jayturn.parts.quarantined", quarantine::condemnedCount);
         metrics.registerGauge("jayturn.instances", entry::entryCount);
         metrics.registerGauge("jayturn.control.in.touch", () -> entry.isLeaderReachable() ? 1 : 0);
+        metrics.registerGauge("jayturn.configuration.version", this::obeyedVersion);
+        metrics.registerGauge("jayturn.configuration.held", entry::configurationVersion);
+        metrics.registerGauge("jayturn.configuration.newest", entry::newestVersion);
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
         new HttpApiServer(loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics))
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
@@ -293,6 +296,11 @@
         }
     }
 
+    private long obeyedVersion() {
+        RouteTable table = routeTable;
+        return table == null ? 0 : table.configuration().version();
+    }
+
     private long kvCacheTokens(String service) {
         RouteTable table = routeTable;
         Service configured = table == null ? null : table.findService(service);
@@ -312,6 +320,7 @@
                     "configuration.obeyed",
                     json -> json.writeNumberField("version", configuration.version()));
         } catch (ConfigurationException e) {
+            metrics.recordUnappliedConfiguration();
             log.event(
                     "configuration.unreadable",
                     json -> {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
@@ -5,8 +5,10 @@
 import dev.jayturn.core.transport.Addresses;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
+import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import dev.jayturn.wire.MessageCodec;
+import dev.jayturn.wire.UnknownTypeException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -46,13 +48,18 @@
 
     private static final long SWEEP_INTERVAL_MILLIS = 500;
 
+    /** Interval between lines on messages that were not handled; all of them are counted. */
+    private static final long FAILURE_LOG_INTERVAL_MILLIS = 1_000;
+
     private final String ownAddress;
     private final EventLoop loop;
     private final TimerService timers;
     private final FleetMetrics metrics;
     private final LinkMeter meter;
+    private final EventLog log;
     private final Consumer<Message> receiver;
     private final Map<String, OutboundConnection> connectionsByAddress = new HashMap<>();
+    private long lastFailureLoggedMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates a transport.
@@ -66,12 +73,14 @@
             TimerService timers,
             FleetMetrics metrics,
             LinkMeter meter,
+            EventLog log,
             Consumer<Message> receiver) {
         this.ownAddress = ownAddress;
         this.loop = loop;
         this.timers = timers;
         this.metrics = metrics;
         this.meter = meter;
+        this.log = log;
         this.receiver = receiver;
         timers.every(SWEEP_INTERVAL_MILLIS, this::closeStaleConnections);
     }
@@ -153,6 +162,30 @@
         }
     }
 
+    /**
+     * Counts and logs a message that was received and not handled.
+     *
+     * @param failure label of the metric
+     * @param message kind of the message; empty if it could not be told
+     */
+    private void recordFailure(Channel channel, String failure, String message, Throwable cause) {
+        metrics.recordFailedMessage(failure);
+        long nowMillis = timers.nowMillis();
+        if (nowMillis - lastFailureLoggedMillis < FAILURE_LOG_INTERVAL_MILLIS) {
+            return;
+        }
+        lastFailureLoggedMillis = nowMillis;
+        LOGGER.atWarning().withCause(cause).log("link: A message was not handled.");
+        log.event(
+                "link.message.failed",
+                json -> {
+                    json.writeStringField("peer", String.valueOf(channel.remoteAddress()));
+                    json.writeStringField("failure", failure);
+                    json.writeStringField("message", message);
+                    json.writeStringField("reason", String.valueOf(cause));
+                });
+    }
+
     private final class InboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
@@ -163,9 +196,24 @@
             }
             byte[] body = new byte[frame.readableBytes()];
             frame.readBytes(body);
-            Message message = MessageCodec.decodeMessage(body);
-            metrics.recordReceivedMessage(message.getClass().getSimpleName(), body.length);
-            receiver.accept(message);
+            Message message;
+            try {
+                message = MessageCodec.decodeMessage(body);
+            } catch (UnknownTypeException e) {
+                recordFailure(ctx.channel(), "unknown", e.typeName(), e);
+                throw e;
+            } catch (IOException e) {
+                recordFailure(ctx.channel(), "unreadable", "", e);
+                throw e;
+            }
+            String kind = message.getClass().getSimpleName();
+            metrics.recordReceivedMessage(kind, body.length);
+            try {
+                receiver.accept(message);
+            } catch (RuntimeException e) {
+                recordFailure(ctx.channel(), "handler", kind, e);
+                throw e;
+            }
         }
 
         @Override
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
@@ -66,6 +66,16 @@
         count("jayturn.link.received.bytes", "message", messageType, bytes);
     }
 
+    /** Counts a message that was received and not handled, by the reason. */
+    public void recordFailedMessage(String failure) {
+        count("jayturn.link.messages.failed", "failure", failure, 1);
+    }
+
+    /** Counts a configuration that an entry instance could not apply. */
+    public void recordUnappliedConfiguration() {
+        registry.counter("jayturn.configuration.unapplied").increment();
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     public void registerGauge(String name, Supplier<Number> value) {
         Gauge.builder(name, value).register(registry);
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
+import com.fasterxml.jackson.databind.exc.InvalidTypeIdException;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import dev.jayturn.core.consensus.Command;
@@ -59,10 +60,11 @@
     /**
      * Decodes a message.
      *
-     * @throws IOException if the bytes are not a message of a known type
+     * @throws UnknownTypeException if the message, or a part of it, is of a type that is not known
+     * @throws IOException if the bytes are not a message
      */
     public static Message decodeMessage(byte[] bytes) throws IOException {
-        return MESSAGE_READER.readValue(bytes);
+        return read(MESSAGE_READER, bytes);
     }
 
     /** Encodes a journal record. */
@@ -73,10 +75,19 @@
     /**
      * Decodes a journal record.
      *
-     * @throws IOException if the bytes are not a journal record of a known type
+     * @throws UnknownTypeException if the record, or a part of it, is of a type that is not known
+     * @throws IOException if the bytes are not a journal record
      */
     public static JournalRecord decodeRecord(byte[] bytes) throws IOException {
-        return RECORD_READER.readValue(bytes);
+        return read(RECORD_READER, bytes);
+    }
+
+    private static <T> T read(ObjectReader reader, byte[] bytes) throws IOException {
+        try {
+            return reader.readValue(bytes);
+        } catch (InvalidTypeIdException e) {
+            throw new UnknownTypeException(String.valueOf(e.getTypeId()), e);
+        }
     }
 
     private static byte[] write(ObjectWriter writer, Object value) {
--- a/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
+++ b/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
@@ -18,6 +18,7 @@
 import dev.jayturn.core.control.CreditShare;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.directory.UpstreamState;
+import dev.jayturn.core.fleet.ConfigurationAnswer;
 import dev.jayturn.core.fleet.HeartbeatShare;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.OriginAnswer;
@@ -78,6 +79,35 @@
                 .isInstanceOf(IOException.class);
     }
 
+    private record FutureMessage(@JsonProperty("@") String type, int value) {}
+
+    @Test
+    void messageOfAnUnknownTypeIsRejectedWithItsName() throws IOException {
+        byte[] bytes = new CBORMapper().writeValueAsBytes(new FutureMessage("Invitation", 3));
+        assertThatThrownBy(() -> MessageCodec.decodeMessage(bytes))
+                .isInstanceOfSatisfying(
+                        UnknownTypeException.class,
+                        e -> assertThat(e.typeName()).isEqualTo("Invitation"));
+    }
+
+    private record OlderAnswer(
+            @JsonProperty("@") String type, long id, boolean sure, long version, byte[] document) {}
+
+    @Test
+    void answerOfAnOlderInstanceNamesNoSender() throws IOException {
+        byte[] bytes =
+                new CBORMapper()
+                        .writeValueAsBytes(
+                                new OlderAnswer("ConfigurationAnswer", 3, true, 9, new byte[] {1}));
+        assertThat(MessageCodec.decodeMessage(bytes))
+                .isInstanceOfSatisfying(
+                        ConfigurationAnswer.class,
+                        answer -> {
+                            assertThat(answer.version()).isEqualTo(9);
+                            assertThat(answer.from()).isEmpty();
+                        });
+    }
+
     /** As instances write heartbeats that do not know the last component yet. */
     private record OlderHeartbeat(
             String id,
