--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.configuration.ConfigurationException;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.slice.ClockReading;
@@ -337,7 +338,11 @@
         byte[] document = update.document();
         if (document != null && update.version() > configurationVersion) {
             configurationVersion = update.version();
-            listener.onConfiguration(new ConfigurationDocument(configurationVersion, document));
+            try {
+                listener.onConfiguration(new ConfigurationDocument(configurationVersion, document));
+            } catch (ConfigurationException e) {
+                // The listener has logged it.
+            }
         }
         for (SliceGrant grant : update.grants()) {
             slices.applyGrant(grant, now);
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetListener.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetListener.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.configuration.ConfigurationException;
 import dev.jayturn.core.directory.Heartbeat;
 import java.util.List;
 
@@ -8,8 +9,12 @@
  * comes on the entry instance's own thread.
  */
 public interface FleetListener {
-    /** Called when a newer configuration comes into force. */
-    void onConfiguration(ConfigurationDocument document);
+    /**
+     * Called when a newer configuration comes into force.
+     *
+     * @throws ConfigurationException if it could not be applied; the one before stays in force
+     */
+    void onConfiguration(ConfigurationDocument document) throws ConfigurationException;
 
     /** Called when an upstream appeared, changed or left; may repeat a heartbeat. */
     void onUpstream(Heartbeat heartbeat);
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.configuration.ConfigurationException;
 import dev.jayturn.core.consensus.Member;
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
@@ -14,6 +15,7 @@
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.quarantine.QuarantineListener;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
+import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StreamOrigins;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceAccounts;
@@ -29,6 +31,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
 
 /** Control and entry instances of a fleet in virtual time, with callers that spend budgets. */
 final class VirtualFleet {
@@ -220,6 +223,8 @@
         final UpstreamRegistry upstreams = new UpstreamRegistry(service -> 1_000);
         final Dispatcher dispatcher;
         long configurationVersion;
+        int documentsReceived;
+        Predicate<ConfigurationDocument> unappliedDocuments = document -> false;
         final List<Heartbeat> upstreamHeartbeats = new ArrayList<>();
         private final List<Call> waiting = new ArrayList<>();
 
@@ -316,7 +321,11 @@
         }
 
         @Override
-        public void onConfiguration(ConfigurationDocument document) {
+        public void onConfiguration(ConfigurationDocument document) throws ConfigurationException {
+            documentsReceived++;
+            if (unappliedDocuments.test(document)) {
+                throw new ConfigurationException(ResultCode.CONFIGURATION_UNREADABLE, "test");
+            }
             configurationVersion = document.version();
         }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -309,7 +309,7 @@
     }
 
     @Override
-    public void onConfiguration(ConfigurationDocument document) {
+    public void onConfiguration(ConfigurationDocument document) throws ConfigurationException {
         try {
             Configuration configuration =
                     codec.decode(DocumentCompression.decompress(document.document()));
@@ -327,6 +327,7 @@
                         json.writeNumberField("version", document.version());
                         json.writeStringField("reason", String.valueOf(e.getMessage()));
                     });
+            throw e;
         }
     }
 
