Show the memory that callers' bodies use at an entry instance

jayturn_bodies_held_bytes is the sum of the bodies received, whole or in part, whose requests have not ended; jayturn_memory_direct_bytes is what all buffers use; jayturn_requests_rejected_memory_total and the event memory.short tell of requests that could not be read. Control instances and the behaviour are as before.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -33,6 +33,7 @@
 import dev.jayturn.daemon.link.ServerSockets;
 import dev.jayturn.daemon.loop.LoopDelayMeter;
 import dev.jayturn.daemon.loop.ThreadLocalRandomSource;
+import dev.jayturn.daemon.metrics.DirectMemory;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import dev.jayturn.daemon.proxy.Forwarder;
 import dev.jayturn.daemon.proxy.HeaderCodec;
@@ -196,6 +197,8 @@
         metrics.registerGauge("jayturn.loop.delay.millis", loopDelay::maxDelayMillis);
         metrics.registerGauge("jayturn.requests.open", forwarder::openRequests);
         metrics.registerGauge("jayturn.connections.callers", proxyServer::connectionCount);
+        metrics.registerGauge("jayturn.bodies.held.bytes", forwarder::heldBodyBytes);
+        metrics.registerGauge("jayturn.memory.direct.bytes", DirectMemory::usedBytes);
         metrics.registerGauge("jayturn.link.sent.share", linkLimiter::sentShare);
         metrics.registerGauge("jayturn.link.received.share", linkLimiter::receivedShare);
         metrics.registerGauge("jayturn.upstreams", () -> upstreamRegistry.all().size());
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
@@ -14,6 +14,8 @@
 
 /** Counters and latency histograms of a fleet process. Used on its event loop only. */
 public final class FleetMetrics {
+    private static final String MEMORY_REJECTIONS = "jayturn.requests.rejected.memory";
+
     /** Upper bounds of the buckets, from a short cached answer up to the longest deadline. */
     private static final Duration[] BUCKET_BOUNDS = {
         Duration.ofMillis(25),
@@ -54,6 +56,12 @@
         count("jayturn.attempts.failed", "failure", failure, 1);
     }
 
+    /** Counts a request that was not read because of a lack of memory. */
+    public void recordMemoryRejection() {
+        counters.computeIfAbsent(MEMORY_REJECTIONS, key -> registry.counter(MEMORY_REJECTIONS))
+                .increment();
+    }
+
     /** Counts a message sent to another instance, by message type. */
     public void recordSentMessage(String messageType, int bytes) {
         count("jayturn.link.sent.messages", "message", messageType, 1);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -50,6 +50,7 @@
     private boolean keepAlive = true;
     private boolean closing;
     private long lastReadMillis;
+    private int heldBodyBytes;
 
     CallerConnection(Forwarder forwarder, ProxyServer server) {
         this.forwarder = forwarder;
@@ -171,6 +172,8 @@
             reject(ResultCode.MALFORMED_REQUEST);
             return;
         }
+        heldBodyBytes += content.content().readableBytes();
+        forwarder.onBodyBytes(content.content().readableBytes());
         bodySoFar.addComponent(true, content.content());
         if (bodySoFar.readableBytes() > forwarder.limits().maxBodyBytes()) {
             reject(ResultCode.BODY_TOO_LARGE);
@@ -199,9 +202,15 @@
         body = null;
         if (bodySoFar != null) {
             bodySoFar.release();
+            onBodyReleased();
         }
     }
 
+    private void onBodyReleased() {
+        forwarder.onBodyBytes(-heldBodyBytes);
+        heldBodyBytes = 0;
+    }
+
     void sendErrorResponse(String requestId, ResultCode code, long retryAfterMillis) {
         FullHttpResponse response = ErrorResponses.create(code, retryAfterMillis);
         forwarder.codec().setRequestId(response.headers(), requestId);
@@ -248,6 +257,7 @@
         exchange = null;
         head = null;
         request = null;
+        onBodyReleased();
         lastReadMillis = forwarder.timers().nowMillis();
         if (closing) {
             return;
@@ -291,6 +301,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOGGER.atFine().withCause(cause).log("proxy: Connection of a caller failed.");
+        if (cause instanceof OutOfMemoryError) {
+            forwarder.onMemoryShort();
+        }
         ctx.close();
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -18,6 +18,7 @@
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.link.LinkMeter;
+import dev.jayturn.daemon.metrics.DirectMemory;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
@@ -56,6 +57,7 @@
     private @Nullable RouteTable routes;
     private boolean draining;
     private int openRequests;
+    private long heldBodyBytes;
 
     /**
      * Limits on the retries of all entry instances together.
@@ -174,6 +176,26 @@
         openRequests--;
     }
 
+    /** Returns the number of bytes of callers' bodies that are held, whole or in part. */
+    public long heldBodyBytes() {
+        return heldBodyBytes;
+    }
+
+    void onBodyBytes(long change) {
+        heldBodyBytes += change;
+    }
+
+    /** Called when a request could not be read because of a lack of memory. */
+    void onMemoryShort() {
+        metrics.recordMemoryRejection();
+        log.event(
+                "memory.short",
+                json -> {
+                    json.writeNumberField("bodies", heldBodyBytes);
+                    json.writeNumberField("direct", DirectMemory.usedBytes());
+                });
+    }
+
     StartupQueue startupQueue() {
         return startupQueue;
     }
