Make the departure of an upstream final for its incarnation

Cause: a departure got the sequence that its control instance knew. A heartbeat that another control instance had received 60 ms before, and had not shared yet, was newer, so that instance went on to call the upstream ready, and an entry instance that got READY first ignored GONE. A departure of an upstream or an incarnation that the control instance had not heard of was forgotten, and one whose only message to another control instance was lost was never sent again.

Now GONE wins over every sequence of its incarnation, in both orders and in both tables (Heartbeat.isAfter). It also has the highest sequence, so that instances of the build before, which order by it, believe it too. Departures of unknown incarnations are kept, with the table's bound, and departures are shared again for 20 s. A later incarnation is not affected. A departure no longer claims its address, and is applied also if another upstream has the address now.

--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
@@ -20,23 +20,40 @@
         long incarnation,
         long sequence,
         String softwareVersion) {
+    /** Instances of earlier builds order departures by their sequence. */
+    private static final long LAST_SEQUENCE = Long.MAX_VALUE;
+
+    /** Instances keep one upstream for each address, so these differ too. */
+    private static final String UNKNOWN_ADDRESS_PREFIX = "unknown/";
+
     /** Returns the id of the upstream together with its incarnation. */
     public String incarnationId() {
         return id + '/' + incarnation;
     }
 
-    /** Returns whether this heartbeat is newer than another of the same upstream. */
+    /**
+     * Returns whether this heartbeat is newer than another of the same upstream. A departure is the
+     * last of its incarnation, whatever the sequences say: heartbeats of that incarnation may reach
+     * other control instances, which have not heard of the departure, later.
+     */
     public boolean isAfter(Heartbeat other) {
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
         }
+        if (hasDeparted() || other.hasDeparted()) {
+            return !other.hasDeparted();
+        }
         if (sequence != other.sequence) {
             return sequence > other.sequence;
         }
-        // A departure has the sequence of the last heartbeat; it is final for the incarnation.
         return state.compareTo(other.state) > 0;
     }
 
+    /** Returns whether the upstream has departed. */
+    public boolean hasDeparted() {
+        return state == UpstreamState.GONE;
+    }
+
     /** Returns whether anything other than the sequence differs from another heartbeat. */
     public boolean differsFrom(Heartbeat other) {
         return incarnation != other.incarnation
@@ -48,17 +65,39 @@
                 || !softwareVersion.equals(other.softwareVersion);
     }
 
-    /** Returns a copy of this heartbeat with another state. */
-    public Heartbeat withState(UpstreamState newState) {
+    /** Returns the departure of this incarnation. */
+    public Heartbeat departure() {
         return new Heartbeat(
                 id,
                 service,
                 address,
                 dataCentre,
                 slots,
-                newState,
+                UpstreamState.GONE,
                 incarnation,
-                sequence,
+                LAST_SEQUENCE,
                 softwareVersion);
     }
+
+    /**
+     * Returns this heartbeat, which is to replace an earlier one. A departure may come from an
+     * instance that knows less of the upstream, so it keeps what the earlier heartbeat said.
+     */
+    public Heartbeat replacing(Heartbeat earlier) {
+        return hasDeparted() && incarnation == earlier.incarnation ? earlier.departure() : this;
+    }
+
+    /** Returns the departure of an incarnation of which nothing else is known. */
+    static Heartbeat departureOf(String id, long incarnation) {
+        return new Heartbeat(
+                id,
+                "",
+                UNKNOWN_ADDRESS_PREFIX + id,
+                "",
+                0,
+                UpstreamState.GONE,
+                incarnation,
+                LAST_SEQUENCE,
+                "");
+    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,7 +21,14 @@
      */
     private static final long RETENTION_MILLIS = 60_000;
 
+    /** Limits the memory and the size of updates if someone invents ids. */
+    private static final int MAX_UPSTREAMS = 8_000;
+
     private final Map<String, Row> rows = new LinkedHashMap<>();
+
+    /** Ids of the upstreams of which only one message has come, the oldest first. */
+    private final Set<String> heardOnce = new LinkedHashSet<>();
+
     private long revision;
 
     private static final class Row {
@@ -27,6 +36,7 @@
         long revision;
         long lastHeartbeatMillis;
         long lastDirectMillis = Long.MIN_VALUE;
+        long departedMillis = Long.MIN_VALUE;
 
         Row(Heartbeat heartbeat) {
             this.heartbeat = heartbeat;
@@ -61,51 +71,68 @@
         Row row = rows.get(heartbeat.id());
         if (row == null) {
             row = new Row(heartbeat);
+            makeRoom();
             rows.put(heartbeat.id(), row);
+            heardOnce.add(heartbeat.id());
             row.lastHeartbeatMillis = nowMillis;
             row.revision = ++revision;
             return true;
         }
-        boolean sameIncarnation = heartbeat.incarnation() == row.heartbeat.incarnation();
         if (!heartbeat.isAfter(row.heartbeat)) {
-            if (sameIncarnation && heartbeat.sequence() == row.heartbeat.sequence()) {
+            if (heartbeat.incarnation() == row.heartbeat.incarnation()
+                    && heartbeat.sequence() == row.heartbeat.sequence()) {
                 row.lastHeartbeatMillis = nowMillis;
             }
             return false;
         }
-        if (sameIncarnation && row.heartbeat.state() == UpstreamState.GONE) {
-            return false;
-        }
+        heardOnce.remove(heartbeat.id());
         row.lastHeartbeatMillis = nowMillis;
         boolean changed = heartbeat.differsFrom(row.heartbeat);
-        row.heartbeat = heartbeat;
+        row.heartbeat = heartbeat.replacing(row.heartbeat);
         if (changed) {
             row.revision = ++revision;
         }
         return changed;
     }
 
+    /** Removes an upstream if the table is full, before one that was heard of more than once. */
+    private void makeRoom() {
+        if (rows.size() < MAX_UPSTREAMS) {
+            return;
+        }
+        Iterator<String> oldest =
+                heardOnce.isEmpty() ? rows.keySet().iterator() : heardOnce.iterator();
+        String removed = oldest.next();
+        heardOnce.remove(removed);
+        rows.remove(removed);
+    }
+
     /**
-     * Marks one incarnation of an upstream as gone.
+     * Marks one incarnation of an upstream as gone. The departure of an incarnation that is not
+     * known here is kept as well, because another control instance may know it.
      *
      * @param incarnation 0 for the latest known incarnation
-     * @return its last heartbeat in state {@link UpstreamState#GONE}; null if the incarnation is
-     *     not the latest known one
+     * @return the departure; null if a later incarnation is known, or if none is known and none was
+     *     given
      */
     public @Nullable Heartbeat markGone(String id, long incarnation, long nowMillis) {
         Row row = rows.get(id);
-        if (row == null) {
+        if (row == null && incarnation == 0) {
             return null;
         }
-        if (incarnation != 0 && row.heartbeat.incarnation() != incarnation) {
+        boolean isKnown =
+                row != null && (incarnation == 0 || incarnation == row.heartbeat.incarnation());
+        Heartbeat departure =
+                row != null && isKnown
+                        ? row.heartbeat.departure()
+                        : Heartbeat.departureOf(id, incarnation);
+        accept(departure, nowMillis);
+        Row departed = rows.get(id);
+        if (departed == null || departed.heartbeat.isAfter(departure)) {
             return null;
         }
-        if (row.heartbeat.state() != UpstreamState.GONE) {
-            row.heartbeat = row.heartbeat.withState(UpstreamState.GONE);
-            row.lastHeartbeatMillis = nowMillis;
-            row.revision = ++revision;
-        }
-        return row.heartbeat;
+        departed.departedMillis = nowMillis;
+        return departed.heartbeat;
     }
 
     /** Returns the heartbeats of the upstreams that changed after a revision. */
@@ -130,12 +157,25 @@
         return received;
     }
 
+    /** Returns the departures of upstreams that announced them here since a time. */
+    public List<Heartbeat> departuresSince(long sinceMillis) {
+        List<Heartbeat> departures = new ArrayList<>();
+        for (Row row : rows.values()) {
+            if (row.heartbeat.hasDeparted() && row.departedMillis >= sinceMillis) {
+                departures.add(row.heartbeat);
+            }
+        }
+        return departures;
+    }
+
     /** Removes upstreams whose last heartbeat or departure is older than the retention time. */
     public void removeExpired(long nowMillis) {
         Collection<Row> all = rows.values();
         for (Iterator<Row> it = all.iterator(); it.hasNext(); ) {
-            if (nowMillis - it.next().lastHeartbeatMillis > RETENTION_MILLIS) {
+            Row row = it.next();
+            if (nowMillis - row.lastHeartbeatMillis > RETENTION_MILLIS) {
                 it.remove();
+                heardOnce.remove(row.heartbeat.id());
             }
         }
     }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
@@ -43,18 +43,15 @@
         if (previous != null && !heartbeat.isAfter(previous)) {
             return null;
         }
-        boolean sameIncarnation =
-                previous != null && previous.incarnation() == heartbeat.incarnation();
-        if (previous != null && sameIncarnation && previous.state() == UpstreamState.GONE) {
-            return null;
-        }
-        newestHeartbeats.put(heartbeat.id(), heartbeat);
-        if (!assignAddress(heartbeat)) {
-            return null;
-        }
-        if (heartbeat.state() != UpstreamState.READY || isLeaving(heartbeat)) {
+        newestHeartbeats.put(
+                heartbeat.id(), previous == null ? heartbeat : heartbeat.replacing(previous));
+        boolean ownsAddress = !heartbeat.hasDeparted() && assignAddress(heartbeat);
+        boolean isReady = heartbeat.state() == UpstreamState.READY && !isLeaving(heartbeat);
+        if (!ownsAddress || !isReady) {
             return readyById.remove(heartbeat.id());
         }
+        boolean sameIncarnation =
+                previous != null && previous.incarnation() == heartbeat.incarnation();
         UpstreamLoad known = readyById.get(heartbeat.id());
         boolean sameAddress =
                 known != null && known.heartbeat().address().equals(heartbeat.address());
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -42,6 +42,9 @@
     /** Interval at which heartbeats without a change are forwarded to other control instances. */
     private static final long HEARTBEAT_SHARE_INTERVAL_MILLIS = 1_000;
 
+    /** Departures are forwarded again for this time; a cut may have lost the first message. */
+    private static final long DEPARTURE_REPEAT_MILLIS = 20_000;
+
     /** The list of live entry instances is adopted once it has not changed for this time. */
     private static final long PEERS_STABLE_MILLIS = 700;
 
@@ -250,6 +253,7 @@
         if (now - lastHeartbeatShareMillis >= HEARTBEAT_SHARE_INTERVAL_MILLIS) {
             lastHeartbeatShareMillis = now;
             shareHeartbeats(upstreams.receivedDirectlySince(now - HEARTBEAT_SHARE_INTERVAL_MILLIS));
+            shareHeartbeats(upstreams.departuresSince(now - DEPARTURE_REPEAT_MILLIS));
             upstreams.removeExpired(now);
         }
     }
--- a/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
@@ -55,4 +55,51 @@
         table.acceptDirect(heartbeat(1, 2, UpstreamState.READY), 1);
         assertThat(table.receivedDirectlySince(1)).hasSize(1);
     }
+
+    @Test
+    void departureWinsOverNewerHeartbeatsOfItsIncarnationInEitherOrder() {
+        table.accept(heartbeat(1, 5, UpstreamState.READY), 0);
+        Heartbeat departure = table.markGone("u1", 1, 1);
+        UpstreamTable other = new UpstreamTable();
+        other.accept(heartbeat(1, 6, UpstreamState.READY), 0);
+        assertThat(departure).isNotNull();
+        assertThat(departure.isAfter(heartbeat(1, 6, UpstreamState.READY))).isTrue();
+        assertThat(heartbeat(1, 6, UpstreamState.READY).isAfter(departure)).isFalse();
+        assertThat(other.accept(departure, 1)).isTrue();
+        assertThat(other.accept(heartbeat(1, 7, UpstreamState.READY), 2)).isFalse();
+        assertThat(other.changedSince(0)).extracting("state").containsExactly(UpstreamState.GONE);
+    }
+
+    @Test
+    void departureOfAnUnknownUpstreamIsRemembered() {
+        assertThat(table.markGone("u1", 3, 0)).isNotNull();
+        assertThat(table.accept(heartbeat(3, 9, UpstreamState.READY), 1)).isFalse();
+        assertThat(table.accept(heartbeat(4, 1, UpstreamState.READY), 2)).isTrue();
+    }
+
+    @Test
+    void departureOfAnUnknownIncarnationIsRemembered() {
+        table.accept(heartbeat(1, 5, UpstreamState.READY), 0);
+        assertThat(table.markGone("u1", 2, 1)).isNotNull();
+        assertThat(table.accept(heartbeat(2, 9, UpstreamState.READY), 2)).isFalse();
+        assertThat(table.accept(heartbeat(1, 6, UpstreamState.READY), 2)).isFalse();
+    }
+
+    @Test
+    void numberOfDeparturesOfUnknownUpstreamsIsLimited() {
+        for (int i = 0; i < 20_000; i++) {
+            table.markGone("unknown-" + i, 1, 0);
+        }
+        assertThat(table.changedSince(0)).hasSizeLessThanOrEqualTo(8_000);
+        table.accept(heartbeat(1, 1, UpstreamState.READY), 1);
+        assertThat(table.changedSince(0)).contains(heartbeat(1, 1, UpstreamState.READY));
+    }
+
+    @Test
+    void departureIsForwardedAgain() {
+        table.accept(heartbeat(1, 5, UpstreamState.READY), 0);
+        Heartbeat departure = table.markGone("u1", 1, 1_000);
+        assertThat(table.departuresSince(1_000)).containsExactly(departure);
+        assertThat(table.departuresSince(1_001)).isEmpty();
+    }
 }
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
@@ -68,4 +68,32 @@
         upstreams.accept(heartbeat("u1", "press", 2, UpstreamState.READY));
         assertThat(upstreams.ofService("press").get(0).failureRate()).isZero();
     }
+
+    @Test
+    void departureWinsOverHeartbeatsOfItsIncarnationInEitherOrder() {
+        Heartbeat ready =
+                new Heartbeat(
+                        "u1", "press", "10.0.0.1:80", "a", 4, UpstreamState.READY, 1, 9, "v1");
+        Heartbeat gone = heartbeat("u1", "press", 1, UpstreamState.GONE);
+        upstreams.accept(ready);
+        assertThat(upstreams.accept(gone)).isNotNull();
+        assertThat(upstreams.ofService("press")).isEmpty();
+        upstreams.accept(ready);
+        assertThat(upstreams.ofService("press")).isEmpty();
+        UpstreamRegistry other = new UpstreamRegistry(service -> 1_000);
+        other.accept(gone);
+        other.accept(ready);
+        assertThat(other.ofService("press")).isEmpty();
+    }
+
+    @Test
+    void departureIsAppliedAlsoWhenAnotherUpstreamHasTheAddress() {
+        upstreams.accept(heartbeat("u2", "scale", 5, UpstreamState.READY));
+        upstreams.accept(
+                new Heartbeat(
+                        "u1", "press", "10.0.0.2:80", "a", 4, UpstreamState.READY, 1, 1, "v1"));
+        upstreams.accept(heartbeat("u1", "press", 1, UpstreamState.GONE));
+        assertThat(upstreams.ofService("press")).isEmpty();
+        assertThat(upstreams.ofService("scale")).hasSize(1);
+    }
 }
