--- a/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/MessageCodec.java
@@ -86,7 +86,10 @@
         try {
             return reader.readValue(bytes);
         } catch (InvalidTypeIdException e) {
-            throw new UnknownTypeException(String.valueOf(e.getTypeId()), e);
+            if (e.getTypeId() == null) {
+                throw e;
+            }
+            throw new UnknownTypeException(e.getTypeId(), e);
         }
     }
 
