Let no error of a loop's task pass unseen

An error of a task of the control loop disappeared in the future that its executor keeps, and so did every exception of a timer on a platform process, as Netty keeps it in the future as well: the instance went on without what the task would have done, with nothing in the log. A caller of ControlLoop.call waited for ever if the task ended with an error such as a class that cannot be linked.

An exception or a stack overflow costs its own task and is logged; any other error goes to the handler of uncaught exceptions, which ends the process, so that it is started again.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
@@ -5,6 +5,7 @@
 import dev.jayturn.core.journal.JournalRecord;
 import dev.jayturn.core.journal.JournalRetryPolicy;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.daemon.loop.LoopTask;
 import dev.jayturn.wire.MessageCodec;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -253,16 +254,7 @@
             LOGGER.atInfo().log("journal: Writing %s succeeds again.", file);
             callbackExecutor.execute(() -> listener.onRecovered(failedMillis, attempts));
         }
-        callbackExecutor.execute(() -> callbacks.forEach(FileJournal::runAndLogFailure));
-    }
-
-    /** Runs a callback; an exception of one does not keep the others from being called. */
-    private static void runAndLogFailure(Runnable callback) {
-        try {
-            callback.run();
-        } catch (RuntimeException e) {
-            LOGGER.atSevere().withCause(e).log("journal: A callback threw an exception.");
-        }
+        callbackExecutor.execute(() -> callbacks.forEach(LoopTask::run));
     }
 
     private void write(JournalBatch batch) throws IOException {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/EventLoopTimers.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/EventLoopTimers.java
@@ -2,6 +2,7 @@
 
 import dev.jayturn.core.timer.Cancellable;
 import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.daemon.loop.LoopTask;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -38,12 +39,13 @@
             loop.execute(
                     () -> {
                         if (!cancelled[0]) {
-                            task.run();
+                            LoopTask.run(task);
                         }
                     });
             return () -> cancelled[0] = true;
         }
-        ScheduledFuture<?> future = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> future =
+                loop.schedule(() -> LoopTask.run(task), delayMillis, TimeUnit.MILLISECONDS);
         return () -> future.cancel(false);
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/loop/ControlLoop.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/loop/ControlLoop.java
@@ -27,21 +27,12 @@
     @Override
     public void execute(Runnable task) {
         try {
-            executor.execute(() -> runAndLogFailure(task));
+            executor.execute(() -> LoopTask.run(task));
         } catch (RejectedExecutionException e) {
             LOGGER.atFine().log("loop: Dropped a task submitted after shutdown.");
         }
     }
 
-    /** Runs a task; an exception is logged, so that it does not reach the executor. */
-    private static void runAndLogFailure(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            LOGGER.atSevere().withCause(e).log("loop: A task threw an exception.");
-        }
-    }
-
     /**
      * Runs a task on the loop and waits for its result.
      *
@@ -49,7 +40,15 @@
      */
     public <T> Try<T> call(CheckedFunction0<T> task) {
         CompletableFuture<Try<T>> result = new CompletableFuture<>();
-        executor.execute(() -> result.complete(Try.of(task)));
+        executor.execute(
+                () -> {
+                    try {
+                        result.complete(Try.of(task));
+                    } catch (Error e) {
+                        // Try throws errors such as a failure to link a class.
+                        result.completeExceptionally(e);
+                    }
+                });
         return result.join();
     }
 
@@ -62,8 +61,7 @@
     public Cancellable schedule(long delayMillis, Runnable task) {
         try {
             ScheduledFuture<?> future =
-                    executor.schedule(
-                            () -> runAndLogFailure(task), delayMillis, TimeUnit.MILLISECONDS);
+                    executor.schedule(() -> LoopTask.run(task), delayMillis, TimeUnit.MILLISECONDS);
             return () -> future.cancel(false);
         } catch (RejectedExecutionException e) {
             return () -> {};
