Give a store that has lost its log a new identity

What callers could see: a change that was confirmed is gone. A control instance that starts with its identity but without its log is the same member as before, with an empty log: it votes again in a term in which it has voted, and counts towards a majority for what it no longer holds. The directory entry of a new log was not synced, while that of the identity, written before it, was; so a loss of power, or a crash between the two, could leave just that on a real disk.

Now the logs are created and synced, with their directory, before the identity is written; an identity without one of its logs is replaced by a random one, also at a founder. The instance then joins as a new member, as after the loss of its disk. A crash before the identity is written leaves empty logs only, and the instance can still found its fleet.

FileJournalTest passes the logs of the identity (none) in its case about the identity.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlComponents.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/ControlComponents.java
@@ -51,7 +51,8 @@
             throws IOException, JournalCorruptException {
         Path folder = Path.of(settings.text(SettingKey.DATA_FOLDER));
         String name = settings.text(SettingKey.INSTANCE_NAME);
-        String id = name + "#" + StoreIdentity.readOrCreate(folder);
+        List<String> journals = List.of(CONTROL_JOURNAL_FILE, LEDGER_JOURNAL_FILE);
+        String id = name + "#" + StoreIdentity.readOrCreate(folder, journals);
         controlJournal =
                 new FileJournal(
                         folder.resolve(CONTROL_JOURNAL_FILE), loop, new JournalListener() {});
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -36,7 +36,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -123,13 +122,12 @@
                         log,
                         this::onMessage);
         Path folder = Path.of(settings.text(SettingKey.FLEET_DATA_FOLDER));
-        Files.createDirectories(folder);
         boolean startsNewFleet =
                 settings.text(SettingKey.FLEET_NEW).equals("true") && seeds.contains(self);
         String storeId =
                 startsNewFleet
-                        ? StoreIdentity.readOrCreate(folder, FOUNDER_STORE_ID)
-                        : StoreIdentity.readOrCreate(folder);
+                        ? StoreIdentity.readOrCreate(folder, List.of(LOG_FILE), FOUNDER_STORE_ID)
+                        : StoreIdentity.readOrCreate(folder, List.of(LOG_FILE));
         List<String> founders = new ArrayList<>();
         if (startsNewFleet && storeId.equals(FOUNDER_STORE_ID)) {
             for (String seed : seeds) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
@@ -86,6 +86,7 @@
         Files.deleteIfExists(temporaryFile());
         if (Files.notExists(file)) {
             opener.open(file, 0).close();
+            syncParentFolder(file);
         }
         JournalReader reader = new JournalReader(file);
         this.recovered = reader.records();
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FileJournalTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FileJournalTest.java
@@ -117,9 +117,9 @@
 
     @Test
     void storeWithoutIdentityFileGetsANewIdentity() throws Exception {
-        String first = StoreIdentity.readOrCreate(folder);
-        assertThat(StoreIdentity.readOrCreate(folder)).isEqualTo(first);
+        String first = StoreIdentity.readOrCreate(folder, List.of());
+        assertThat(StoreIdentity.readOrCreate(folder, List.of())).isEqualTo(first);
         Files.delete(folder.resolve("store-id"));
-        assertThat(StoreIdentity.readOrCreate(folder)).isNotEqualTo(first);
+        assertThat(StoreIdentity.readOrCreate(folder, List.of())).isNotEqualTo(first);
     }
 }
