Let a message that cannot be handled cost that message only

Cause: an unknown kind, unreadable bytes or an exception of a handler closed the connection. Fix: the message is counted, logged with its peer and dropped; the connection goes on. That is no more than the loss of one message, which each protocol on the link bears: what is missing is sent again. A log entry with an unknown command comes in an AppendRequest, which is dropped as a whole: the member does not acknowledge it, so it falls behind and is counted, and no log diverges. Broken frames still end the connection.

The gRPC link already drops such messages with a log line, and its loop logs exceptions.

After: LinkTransportTest passes (3 of 3), with MessageCodecTest.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
@@ -100,7 +100,7 @@
     public void send(String to, Message message) {
         String instance = Addresses.instanceOf(to);
         if (instance.equals(ownAddress)) {
-            loop.execute(() -> receiver.accept(message));
+            loop.execute(() -> deliver(ownAddress, message));
             return;
         }
         byte[] body = MessageCodec.encode(message);
@@ -162,13 +162,23 @@
         }
     }
 
+    /** Passes on a message; an exception costs this message only. */
+    private void deliver(String peer, Message message) {
+        try {
+            receiver.accept(message);
+        } catch (RuntimeException e) {
+            recordFailure(peer, "handler", message.getClass().getSimpleName(), e);
+        }
+    }
+
     /**
      * Counts and logs a message that was received and not handled.
      *
+     * @param peer address of the sender's connection
      * @param failure label of the metric
      * @param message kind of the message; empty if it could not be told
      */
-    private void recordFailure(Channel channel, String failure, String message, Throwable cause) {
+    private void recordFailure(String peer, String failure, String message, Throwable cause) {
         metrics.recordFailedMessage(failure);
         long nowMillis = timers.nowMillis();
         if (nowMillis - lastFailureLoggedMillis < FAILURE_LOG_INTERVAL_MILLIS) {
@@ -179,7 +189,7 @@
         log.event(
                 "link.message.failed",
                 json -> {
-                    json.writeStringField("peer", String.valueOf(channel.remoteAddress()));
+                    json.writeStringField("peer", peer);
                     json.writeStringField("failure", failure);
                     json.writeStringField("message", message);
                     json.writeStringField("reason", String.valueOf(cause));
@@ -188,7 +198,7 @@
 
     private final class InboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
             byte type = frame.readByte();
             if (type == PING) {
                 ctx.writeAndFlush(ctx.alloc().buffer(1).writeByte(PONG));
@@ -196,24 +206,20 @@
             }
             byte[] body = new byte[frame.readableBytes()];
             frame.readBytes(body);
+            String peer = String.valueOf(ctx.channel().remoteAddress());
             Message message;
             try {
                 message = MessageCodec.decodeMessage(body);
             } catch (UnknownTypeException e) {
-                recordFailure(ctx.channel(), "unknown", e.typeName(), e);
-                throw e;
+                // An instance of a newer build may send it; the other messages still count.
+                recordFailure(peer, "unknown", e.typeName(), e);
+                return;
             } catch (IOException e) {
-                recordFailure(ctx.channel(), "unreadable", "", e);
-                throw e;
-            }
-            String kind = message.getClass().getSimpleName();
-            metrics.recordReceivedMessage(kind, body.length);
-            try {
-                receiver.accept(message);
-            } catch (RuntimeException e) {
-                recordFailure(ctx.channel(), "handler", kind, e);
-                throw e;
+                recordFailure(peer, "unreadable", "", e);
+                return;
             }
+            metrics.recordReceivedMessage(message.getClass().getSimpleName(), body.length);
+            deliver(peer, message);
         }
 
         @Override
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/link/LinkTransportTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/link/LinkTransportTest.java
@@ -26,7 +26,6 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -117,7 +116,6 @@
         }
     }
 
-    @Tag("known-red")
     @Test
     void messageAfterOneOfAnUnknownKindArrives() throws IOException, InterruptedException {
         assertArrives("before");
@@ -126,7 +124,6 @@
         assertArrives("after");
     }
 
-    @Tag("known-red")
     @Test
     void messageAfterOneWhoseHandlerFailsArrives() throws IOException, InterruptedException {
         assertArrives("before");
@@ -135,7 +132,6 @@
         assertArrives("after");
     }
 
-    @Tag("known-red")
     @Test
     void messageAfterAnUnreadableOneArrives() throws IOException, InterruptedException {
         assertArrives("before");
