Attribute each upstream response to a request by its id

Callers were told that a request was not executed, or it was executed at a second upstream as well, when a faulty upstream sent a refusal once more on a kept connection: a 503, 429, 408, 400 or 421 without a request id, one with several ids, one with the id of an earlier request that had the same id, or the first part of one, which merged with the response that followed it. The notices of such a response (leaving, limit, pause) counted, and a 421 removed the upstream.

Cause: ids were compared only if a response had one, and only successes had to have one. Bytes that arrive while no response is due were noticed only once the decoder had a message, so a part of a head stayed until the next response.

Now a response without an id, or with several, belongs to a request only if it is no success and its connection carried no other request; an upstream that is full and refuses a new connection is still believed. Otherwise the attempt ends as UNATTRIBUTABLE: the request may have run, the connection is closed, and no notice counts. A connection carries no id twice (hashes of the ids are kept; it is replaced after 1,000 requests), is not kept after a response to an earlier request, and is closed by bytes that arrive while no response is due. Before a request is written, the socket is read for bytes or an end that wait in it. A head whose value contains a status line is two heads.

Closing after each refusal would have been sound for refusals too, but opens a connection for each under overload.

What remains: stray bytes that arrive after the check of the socket and break off inside a head may spoil the response that follows; that ends as "may have run".

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -49,6 +49,8 @@
         DECLINED,
         /** The response was an error, and a retry was acquired, so the request is retried. */
         REPLACED,
+        /** The response may belong to another request. */
+        UNATTRIBUTABLE,
         /** The response was invalid or incomplete. */
         BROKEN;
 
@@ -164,6 +166,14 @@
         }
     }
 
+    @Override
+    public void onUnattributableResponse() {
+        if (!ended) {
+            recordEnd();
+            reportFailure(Failure.UNATTRIBUTABLE);
+        }
+    }
+
     @Override
     public void onResponseHead(HttpResponse response) {
         if (ended) {
@@ -205,11 +215,7 @@
         if (codec.isNotExecuted(response)) {
             return Failure.DECLINED;
         }
-        // A success without a request id may belong to another request.
-        boolean isForeign = successStatus && codec.responseRequestId(response).isEmpty();
-        if (isForeign
-                || !codec.isSigned(response)
-                || (exchange.stream().hasBegun() && !successStatus)) {
+        if (!codec.isSigned(response) || (exchange.stream().hasBegun() && !successStatus)) {
             return Failure.BROKEN;
         }
         // REPLACED means that the retry is acquired: Exchange.onFailure does not acquire it again.
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
@@ -19,7 +19,7 @@
      */
     HttpHeaders upstreamHeaders(HttpRequest head, UpstreamRequestMetadata metadata);
 
-    /** Returns the id of the request that a response answers; empty if it has none. */
+    /** Returns the id of the request that a response answers; empty if it has none or several. */
     String responseRequestId(HttpResponse response);
 
     /** Returns whether a response has an upstream's signature. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -43,13 +43,16 @@
 
     private final UpstreamConnectionPool pool;
     private final HeaderCodec codec;
-    private final Channel channel;
+    private final UpstreamSocket channel;
+    private final UpstreamResponseDecoder decoder;
     private final TimerService timers;
+    private final CarriedIds carriedIds = new CarriedIds();
     private @Nullable UpstreamListener listener;
     private String requestId = "";
     private boolean requestWritten;
     private boolean headReceived;
     private boolean skippingResponse;
+    private boolean strayReceived;
     private boolean discardingResponse;
     private int skippedResponses;
     private int skippedBytes;
@@ -61,10 +64,15 @@
     private long idleSinceMillis;
 
     UpstreamConnection(
-            UpstreamConnectionPool pool, HeaderCodec codec, Channel channel, TimerService timers) {
+            UpstreamConnectionPool pool,
+            HeaderCodec codec,
+            UpstreamSocket channel,
+            UpstreamResponseDecoder decoder,
+            TimerService timers) {
         this.pool = pool;
         this.codec = codec;
         this.channel = channel;
+        this.decoder = decoder;
         this.timers = timers;
     }
 
@@ -86,6 +94,11 @@
         return channel.isActive() && nowMillis - idleSinceMillis < idleTimeoutMillis;
     }
 
+    /** Returns whether the connection can carry a request, without a response to an earlier one. */
+    boolean canCarry(String id, long nowMillis) {
+        return isUsable(nowMillis) && carriedIds.admits(id) && channel.isQuiet();
+    }
+
     /**
      * Sends a request, unless the listener no longer wants it sent. The listener receives the
      * progress and the response.
@@ -98,6 +111,8 @@
         }
         listener = responseListener;
         requestId = id;
+        carriedIds.add(id);
+        decoder.onRequest(request.method());
         requestWritten = false;
         headReceived = false;
         keepAlive = true;
@@ -142,8 +157,6 @@
 
     private void read(HttpObject message) {
         if (listener == null && !discardingResponse) {
-            // Bytes without a request: responses after them could be attributed to the wrong
-            // request.
             channel.close();
             return;
         }
@@ -165,15 +178,23 @@
             return;
         }
         String id = codec.responseRequestId(response);
+        boolean merged = UpstreamResponseDecoder.isMerged(response.headers());
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean foreign = !id.isEmpty() && !id.equals(requestId);
+        strayReceived = strayReceived || foreign;
         // A late response to an earlier request may arrive before the response to this one.
-        skippingResponse = informational || (!id.isEmpty() && !id.equals(requestId));
+        skippingResponse = !merged && (informational || foreign);
         if (skippingResponse) {
             if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
                 channel.close();
             }
             return;
         }
+        if (merged || (id.isEmpty() && !isAttributableWithoutId(response))) {
+            abort();
+            responseListener.onUnattributableResponse();
+            return;
+        }
         headReceived = true;
         boolean framed =
                 HttpUtil.isTransferEncodingChunked(response)
@@ -184,6 +205,15 @@
         responseListener.onResponseHead(response);
     }
 
+    /**
+     * Only the first request of a connection has no earlier one that the response may belong to.
+     */
+    private boolean isAttributableWithoutId(HttpResponse response) {
+        return carriedIds.size() == 1
+                && !strayReceived
+                && response.status().codeClass() != HttpStatusClass.SUCCESS;
+    }
+
     private void readKeepAliveTimeout(HttpResponse response) {
         String value = response.headers().get("Keep-Alive");
         int start = value == null ? -1 : value.indexOf("timeout=");
@@ -244,7 +274,8 @@
     }
 
     private void releaseOrClose() {
-        if (keepAlive && requestWritten) {
+        if (keepAlive && requestWritten && !strayReceived && !decoder.hasMoreBytes()) {
+            decoder.onResponseEnd();
             pool.release(this);
         } else {
             channel.close();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
@@ -3,15 +3,13 @@
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.link.LinkMeter;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -22,9 +20,6 @@
 /** The open connections to one upstream, of which idle ones are reused. */
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
-    private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 16_384;
 
     /** TCP keepalive detects connections whose peer has become unreachable. */
     private static final int TCP_KEEPALIVE_IDLE_SECONDS = 1;
@@ -74,7 +69,7 @@
             Consumer<UpstreamConnection> onConnection) {
         long nowMillis = timers.nowMillis();
         UpstreamConnection reused = idleConnections.pollLast();
-        while (reused != null && !reused.isUsable(nowMillis)) {
+        while (reused != null && !reused.canCarry(id, nowMillis)) {
             reused.channel().close();
             reused = idleConnections.pollLast();
         }
@@ -103,7 +98,7 @@
     private Bootstrap bootstrap() {
         return new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(UpstreamSocket::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(
@@ -117,21 +112,20 @@
                         TCP_KEEPALIVE_PROBES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(
-                        new ChannelInitializer<Channel>() {
+                        new ChannelInitializer<UpstreamSocket>() {
                             @Override
-                            protected void initChannel(Channel channel) {
+                            protected void initChannel(UpstreamSocket channel) {
+                                UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
                                 channel.pipeline()
                                         .addLast(meter)
-                                        .addLast(
-                                                new HttpClientCodec(
-                                                        MAX_INITIAL_LINE_BYTES,
-                                                        MAX_HEADER_BYTES,
-                                                        MAX_CHUNK_BYTES))
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(decoder)
                                         .addLast(
                                                 new UpstreamConnection(
                                                         UpstreamConnectionPool.this,
                                                         codec,
                                                         channel,
+                                                        decoder,
                                                         timers));
                             }
                         });
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
@@ -5,8 +5,8 @@
 
 /**
  * Receives the progress of one attempt at an upstream. Unless the attempt is cancelled or ends
- * itself, the last call is {@link #onUnreachable}, {@link #onResponseComplete} or {@link
- * #onResponseIncomplete}.
+ * itself, the last call is {@link #onUnreachable}, {@link #onUnattributableResponse}, {@link
+ * #onResponseComplete} or {@link #onResponseIncomplete}.
  */
 interface UpstreamListener {
     /**
@@ -19,6 +19,12 @@
     /** Called when no connection could be opened, so that nothing was sent. */
     void onUnreachable();
 
+    /**
+     * Called when a response was received that may belong to another request, so that nothing is
+     * known about this one; the connection is closed.
+     */
+    void onUnattributableResponse();
+
     /** Called with the head of the response. */
     void onResponseHead(HttpResponse head);
 
