Let an odd entry among the upstreams' heartbeats cost that entry only

Here an entry instance that started beside six entries with versions of 8 MB never became ready: its first update was larger than a frame of the link may be. Numbers beyond their types came out as others (slots as 1; born and sequence beyond a long wrapped), born 0 or negative was taken (0 means that the incarnation is not known), and one entry under the id of a sound upstream with a sequence near the largest long made all of its own heartbeats count as old: its draining was acknowledged and not believed. A departure that could not be read took the upstream out.

Cause: a heartbeat was read as a tree and converted without a look at ranges, lengths or what else the body held, and nothing looked at it again at the instances that receive it.

HeartbeatValidator bounds ids, texts, slots, incarnation, sequence and addresses; control and entry instances ask it again for each heartbeat that another instance sends, which may be of the build before. Within one incarnation the service and the address stay and the sequence grows by single calls (Heartbeat.contradicts). The tables are bounded, and upstreams that are heard of again outlive invented ids.

Not covered: one writer that names a plausible later incarnation of a sound id, or a sequence a few thousand ahead, is still believed.

--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
@@ -23,6 +23,9 @@
     /** Instances of earlier builds order departures by their sequence. */
     private static final long LAST_SEQUENCE = Long.MAX_VALUE;
 
+    /** More than the calls of one minute, after which an upstream is forgotten. */
+    private static final long MAX_SEQUENCE_STEP = 10_000;
+
     /** Instances keep one upstream for each address, so these differ too. */
     private static final String UNKNOWN_ADDRESS_PREFIX = "unknown/";
 
@@ -65,6 +68,19 @@
                 || !softwareVersion.equals(other.softwareVersion);
     }
 
+    /**
+     * Returns whether another writer than that of an earlier heartbeat sent this one: within one
+     * incarnation the service and the address stay, and the sequence grows by one with each call.
+     */
+    public boolean contradicts(Heartbeat earlier) {
+        return incarnation == earlier.incarnation
+                && !hasDeparted()
+                && !earlier.hasDeparted()
+                && (!service.equals(earlier.service)
+                        || !address.equals(earlier.address)
+                        || sequence - earlier.sequence > MAX_SEQUENCE_STEP);
+    }
+
     /** Returns the departure of this incarnation. */
     public Heartbeat departure() {
         return new Heartbeat(
--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/UpstreamTable.java
@@ -68,6 +68,9 @@
      * @return whether anything other than the sequence changed
      */
     public boolean accept(Heartbeat heartbeat, long nowMillis) {
+        if (!HeartbeatValidator.isValid(heartbeat)) {
+            return false;
+        }
         Row row = rows.get(heartbeat.id());
         if (row == null) {
             row = new Row(heartbeat);
@@ -78,6 +81,9 @@
             row.revision = ++revision;
             return true;
         }
+        if (!isExpired(row, nowMillis) && heartbeat.contradicts(row.heartbeat)) {
+            return false;
+        }
         if (!heartbeat.isAfter(row.heartbeat)) {
             if (heartbeat.incarnation() == row.heartbeat.incarnation()
                     && heartbeat.sequence() == row.heartbeat.sequence()) {
@@ -173,10 +179,14 @@
         Collection<Row> all = rows.values();
         for (Iterator<Row> it = all.iterator(); it.hasNext(); ) {
             Row row = it.next();
-            if (nowMillis - row.lastHeartbeatMillis > RETENTION_MILLIS) {
+            if (isExpired(row, nowMillis)) {
                 it.remove();
                 heardOnce.remove(row.heartbeat.id());
             }
         }
     }
+
+    private static boolean isExpired(Row row, long nowMillis) {
+        return nowMillis - row.lastHeartbeatMillis > RETENTION_MILLIS;
+    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
@@ -1,6 +1,7 @@
 package dev.jayturn.core.dispatch;
 
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.directory.HeartbeatValidator;
 import dev.jayturn.core.directory.UpstreamState;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -13,8 +14,11 @@
 
 /** The upstreams that accept new requests, as an entry instance knows them from heartbeats. */
 public final class UpstreamRegistry {
+    /** Limits the memory; departed upstreams are forgotten first. */
+    private static final int MAX_UPSTREAMS = 16_000;
+
     private final Map<String, UpstreamLoad> readyById = new LinkedHashMap<>();
-    private final Map<String, Heartbeat> newestHeartbeats = new HashMap<>();
+    private final Map<String, Heartbeat> newestHeartbeats = new LinkedHashMap<>();
     private final Map<String, Heartbeat> addressOwners = new HashMap<>();
 
     /** Incarnations that said in a response that they are leaving, by id. */
@@ -33,14 +37,18 @@
     }
 
     /**
-     * Applies a heartbeat; older ones than already applied are ignored.
+     * Applies a heartbeat; older ones than already applied are ignored, and invalid ones.
      *
      * @return the upstream of the same id that this heartbeat removed or replaced, null if there is
      *     none
      */
     public @Nullable UpstreamLoad accept(Heartbeat heartbeat) {
+        if (!HeartbeatValidator.isValid(heartbeat)) {
+            return null;
+        }
         Heartbeat previous = newestHeartbeats.get(heartbeat.id());
-        if (previous != null && !heartbeat.isAfter(previous)) {
+        boolean isNews = previous == null ? tryMakeRoom() : heartbeat.isAfter(previous);
+        if (!isNews) {
             return null;
         }
         newestHeartbeats.put(
@@ -65,6 +73,25 @@
         return known;
     }
 
+    /** Forgets an upstream that gets no requests if there are too many; false if there is none. */
+    private boolean tryMakeRoom() {
+        if (newestHeartbeats.size() < MAX_UPSTREAMS) {
+            return true;
+        }
+        for (Heartbeat known : newestHeartbeats.values()) {
+            if (!readyById.containsKey(known.id())) {
+                newestHeartbeats.remove(known.id());
+                leavingIncarnations.remove(known.id());
+                Heartbeat owner = addressOwners.get(known.address());
+                if (owner != null && owner.id().equals(known.id())) {
+                    addressOwners.remove(known.address());
+                }
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Assigns the address of an upstream to it, and removes an upstream of an earlier incarnation
      * that had the address.
--- a/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
@@ -102,4 +102,60 @@
         assertThat(table.departuresSince(1_000)).containsExactly(departure);
         assertThat(table.departuresSince(1_001)).isEmpty();
     }
+
+    private static Heartbeat at(String id, String address, long sequence) {
+        return new Heartbeat(id, "press", address, "a", 4, UpstreamState.READY, 1, sequence, "v1");
+    }
+
+    @Test
+    void invalidHeartbeatIsIgnored() {
+        table.accept(at("", "10.0.0.1:80", 1), 0);
+        table.accept(at("a\u0000", "10.0.0.1:80", 1), 0);
+        table.accept(at("x".repeat(3_000), "10.0.0.1:80", 1), 0);
+        table.accept(at("u2", "10.0.0.1:70000", 1), 0);
+        table.accept(at("u3", "10.0.0.1:0", 1), 0);
+        table.accept(at("u4", "10.0.0.1", 1), 0);
+        table.accept(at("u5", "host:80", 1), 0);
+        table.accept(at("u6", "", 1), 0);
+        table.accept(at("u7", "10.0.0.1:80", Long.MAX_VALUE), 0);
+        assertThat(table.changedSince(0)).isEmpty();
+        table.accept(at("u8", "[fe80::1]:80", 1), 0);
+        assertThat(table.changedSince(0)).hasSize(1);
+    }
+
+    @Test
+    void heartbeatOfAnotherWriterDoesNotReplaceThatOfTheIncarnation() {
+        table.accept(at("u1", "10.0.0.1:80", 1), 0);
+        assertThat(table.accept(at("u1", "10.0.0.2:80", 2), 1)).isFalse();
+        table.accept(at("u1", "10.0.0.1:80", 900_000_000), 2);
+        Heartbeat draining =
+                new Heartbeat(
+                        "u1", "press", "10.0.0.1:80", "a", 4, UpstreamState.DRAINING, 1, 3, "v1");
+        assertThat(table.accept(draining, 3)).isTrue();
+    }
+
+    @Test
+    void heartbeatAfterALongSilenceIsAccepted() {
+        table.accept(at("u1", "10.0.0.1:80", 1), 0);
+        table.accept(at("u1", "10.0.0.1:80", 900_000), 3_600_000);
+        assertThat(table.changedSince(0)).isNotEmpty();
+        assertThat(table.receivedDirectlySince(0)).isEmpty();
+        table.acceptDirect(at("u1", "10.0.0.1:80", 900_001), 3_600_001);
+        assertThat(table.receivedDirectlySince(0)).hasSize(1);
+    }
+
+    @Test
+    void soundUpstreamsStayWhenIdsAreInvented() {
+        for (int i = 0; i < 100; i++) {
+            table.accept(at("sound" + i, "10.0.0.1:80", 1), 0);
+            table.accept(at("sound" + i, "10.0.0.1:80", 2), 1);
+        }
+        for (int i = 0; i < 50_000; i++) {
+            table.accept(at("invented" + i, "10.0.0.1:80", 1), 2);
+        }
+        assertThat(table.changedSince(0))
+                .hasSizeLessThanOrEqualTo(8_000)
+                .filteredOn(heartbeat -> heartbeat.id().startsWith("sound"))
+                .hasSize(100);
+    }
 }
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/UpstreamRegistryTest.java
@@ -96,4 +96,33 @@
         assertThat(upstreams.ofService("press")).isEmpty();
         assertThat(upstreams.ofService("scale")).hasSize(1);
     }
+
+    private static Heartbeat at(String id, String address) {
+        return new Heartbeat(id, "press", address, "a", 4, UpstreamState.READY, 1, 1, "v1");
+    }
+
+    @Test
+    void heartbeatThatNamesNoUsableAddressIsIgnored() {
+        upstreams.accept(at("u1", "10.0.0.1:70000"));
+        upstreams.accept(at("u2", "10.0.0.1:x"));
+        upstreams.accept(at("u3", "10.0.0.1"));
+        upstreams.accept(at("u4", "host:80"));
+        upstreams.accept(at("u5\r\n", "10.0.0.1:80"));
+        assertThat(upstreams.all()).isEmpty();
+        upstreams.accept(at("u6", "10.0.0.1:80"));
+        assertThat(upstreams.all()).hasSize(1);
+    }
+
+    @Test
+    void knownUpstreamsStayWhenIdsAreInvented() {
+        upstreams.accept(at("u1", "10.0.0.1:80"));
+        for (int i = 0; i < 40_000; i++) {
+            upstreams.accept(at("invented" + i, "10.1." + i / 250 + '.' + i % 250 + ":80"));
+        }
+        assertThat(upstreams.all()).hasSizeLessThanOrEqualTo(16_000);
+        assertThat(upstreams.all()).extracting(u -> u.heartbeat().id()).contains("u1");
+        upstreams.accept(heartbeat("u1", "press", 1, UpstreamState.GONE));
+        upstreams.accept(at("u2", "10.0.0.2:80"));
+        assertThat(upstreams.all()).extracting(u -> u.heartbeat().id()).contains("u2");
+    }
 }
