--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -272,7 +272,7 @@
     public void putConfiguration(byte[] document, PutCallback callback) {
         Configuration configuration;
         try {
-            configuration = codec.decode(document);
+            configuration = codec.decodeStrictly(document);
             ConfigurationChecker.check(configuration);
         } catch (ConfigurationException e) {
             log.event(
