Bound the memory of callers' bodies at an entry instance

Cause: each body was collected whole, with no bound on the sum over all connections. Once the direct memory was used up, each read of any connection slept for half a second in java.nio.Bits.reserveMemory, on the only event loop.

Now a body is claimed before it is read (SharedMemoryBudget, six tenths of the process's direct memory): by its declared length, or 64 KiB and then the maximum if it comes in chunks. A long claim is granted as a whole, so nobody holds a part of the memory and waits for more, and leaves a quarter to short ones. One that doesn't fit waits unread, for 0.8 s or a quarter of the caller's timeout at most; if its turn would come later it is rejected at once with 3006 (503, not run) and the time to come back. 100 Continue is sent when there is memory. What a refused caller still sends is discarded for up to 2 s, so that no reset destroys the response. The memory is given back when the buffer is, also if the caller leaves. Bodies are copied into buffers of their length; before, a body kept the larger ones it was read into. A body that doesn't arrive within the caller's timeout gets 1009 (408, not run), and the time of a request counts from its head.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -199,6 +199,7 @@
         metrics.registerGauge("jayturn.requests.open", forwarder::openRequests);
         metrics.registerGauge("jayturn.connections.callers", proxyServer::connectionCount);
         metrics.registerGauge("jayturn.bodies.held.bytes", forwarder::heldBodyBytes);
+        metrics.registerGauge("jayturn.bodies.claimed.bytes", forwarder::claimedBodyBytes);
         metrics.registerGauge("jayturn.memory.direct.bytes", DirectMemory::usedBytes);
         metrics.registerGauge("jayturn.link.sent.share", linkLimiter::sentShare);
         metrics.registerGauge("jayturn.link.received.share", linkLimiter::receivedShare);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -2,14 +2,16 @@
 
 import com.google.common.flogger.FluentLogger;
 import dev.jayturn.core.configuration.RequestLimits;
+import dev.jayturn.core.limits.MemoryBudget;
 import dev.jayturn.core.result.ResultCode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -30,27 +32,43 @@
 import org.jspecify.annotations.Nullable;
 
 /** A connection of a caller; its requests are processed one at a time, in order. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements MemoryBudget.Callback {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /**
-     * Number of queued messages of pipelined requests above which reading stops; also the maximum
-     * number of parts of a body buffer, above which they are merged.
-     */
+    /** Number of queued messages of pipelined requests above which reading stops. */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
+    /** Bytes of queued bodies above which reading stops. */
+    private static final int MAX_PIPELINED_BYTES = 32 * 1_024;
+
+    /** Time in which a body has to arrive if the caller does not say how long it waits. */
+    private static final long MAX_BODY_MILLIS = 15_000;
+
+    /** Maximum time that a body waits unread for memory. */
+    private static final long MAX_MEMORY_WAIT_MILLIS = 800;
+
+    /** The wait for memory is also limited to the caller's timeout divided by this. */
+    private static final int MEMORY_WAIT_DIVISOR = 4;
+
+    /** Time for a caller to receive a response although it is still sending its request. */
+    private static final long LINGER_MILLIS = 2_000;
+
     private final Forwarder forwarder;
     private final ProxyServer server;
     private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
     private @Nullable CallerRequest request;
-    private @Nullable CompositeByteBuf body;
+    private @Nullable RequestBody body;
     private @Nullable Exchange exchange;
     private boolean keepAlive = true;
     private boolean closing;
+    private boolean continueSent;
+    private @Nullable ChannelFuture lingeringResponse;
+    private int pipelinedBytes;
     private long lastReadMillis;
-    private int heldBodyBytes;
+    private long headMillis;
+    private long closingMillis;
 
     CallerConnection(Forwarder forwarder, ProxyServer server) {
         this.forwarder = forwarder;
@@ -78,18 +96,45 @@
 
     /** Closes the connection if the caller is too slow to send a request, or sends none. */
     void closeIfTimedOut(long nowMillis) {
-        if (exchange != null || closing) {
-            return;
-        }
         RequestLimits limits = forwarder.limits();
         long idleMillis = nowMillis - lastReadMillis;
-        if (head != null && idleMillis > limits.headerTimeoutMillis()) {
+        if (exchange != null || isWaitingForMemory()) {
+            return;
+        }
+        if (closing) {
+            boolean lingers = lingeringResponse != null;
+            long maxMillis = lingers ? LINGER_MILLIS : limits.idleTimeoutMillis();
+            if (nowMillis - closingMillis > maxMillis) {
+                context().close();
+            }
+        } else if (head != null && nowMillis - headMillis > maxBodyMillis()) {
+            reject(ResultCode.BODY_TIMEOUT, 0);
+        } else if (head != null && idleMillis > limits.headerTimeoutMillis()) {
             context().close();
         } else if (head == null && idleMillis > limits.idleTimeoutMillis()) {
             context().close();
         }
     }
 
+    private boolean isWaitingForMemory() {
+        RequestBody bodySoFar = body;
+        return bodySoFar != null && bodySoFar.isWaiting();
+    }
+
+    private long maxBodyMillis() {
+        CallerRequest decoded = request;
+        return decoded == null || decoded.timeoutMillis() == 0
+                ? MAX_BODY_MILLIS
+                : decoded.timeoutMillis();
+    }
+
+    private long maxMemoryWaitMillis() {
+        CallerRequest decoded = request;
+        return decoded == null
+                ? 0
+                : decoded.partOfTimeoutMillis(MEMORY_WAIT_DIVISOR, MAX_MEMORY_WAIT_MILLIS);
+    }
+
     /**
      * Closes the connection if no request is in progress and none has come since a time. Otherwise
      * it is closed after the response in progress, even if that began as one that keeps it open.
@@ -105,12 +150,18 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastReadMillis = forwarder.timers().nowMillis();
         if (closing) {
+            ChannelFuture response = lingeringResponse;
+            if (response != null && message instanceof LastHttpContent) {
+                response.addListener(ChannelFutureListener.CLOSE);
+            }
             ReferenceCountUtil.release(message);
             return;
         }
-        if (exchange != null) {
+        if (exchange != null || isWaitingForMemory() || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(message);
-            if (pipelinedMessages.size() > MAX_PIPELINED_MESSAGES) {
+            pipelinedBytes += bodyBytes(message);
+            if (pipelinedMessages.size() > MAX_PIPELINED_MESSAGES
+                    || pipelinedBytes > MAX_PIPELINED_BYTES) {
                 ctx.channel().config().setAutoRead(false);
             }
             return;
@@ -118,6 +169,10 @@
         accept(ctx, message);
     }
 
+    private static int bodyBytes(Object message) {
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     private void accept(ChannelHandlerContext ctx, Object message) {
         if (message instanceof HttpRequest received) {
             acceptHead(ctx, received);
@@ -133,7 +188,7 @@
         if (received.decoderResult().isFailure()) {
             boolean tooLong =
                     received.decoderResult().cause() instanceof TooLongHttpHeaderException;
-            reject(tooLong ? ResultCode.HEADERS_TOO_LARGE : ResultCode.MALFORMED_REQUEST);
+            reject(tooLong ? ResultCode.HEADERS_TOO_LARGE : ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
         // Two lengths for one body would allow request smuggling.
@@ -141,76 +196,163 @@
                 received.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
                         && received.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
         if (ambiguousLength) {
-            reject(ResultCode.MALFORMED_REQUEST);
+            reject(ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
         try {
             request = forwarder.codec().decode(received);
         } catch (MalformedRequestException e) {
-            reject(ResultCode.MALFORMED_REQUEST);
+            reject(ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
         head = received;
+        headMillis = forwarder.timers().nowMillis();
         keepAlive = HttpUtil.isKeepAlive(received);
-        body = ctx.alloc().compositeBuffer(MAX_PIPELINED_MESSAGES);
-        if (HttpUtil.is100ContinueExpected(received)) {
-            ctx.writeAndFlush(
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        long maxBytes =
+                Math.min(
+                        forwarder.limits().maxBodyBytes(),
+                        forwarder.bodyMemory().budget().largestClaimBytes());
+        long declaredBytes =
+                HttpUtil.isTransferEncodingChunked(received)
+                        ? RequestBody.UNKNOWN_LENGTH
+                        : HttpUtil.getContentLength(received, 0L);
+        if (declaredBytes > maxBytes) {
+            reject(ResultCode.BODY_TOO_LARGE, 0);
+            return;
+        }
+        RequestBody newBody =
+                new RequestBody(forwarder.bodyMemory(), ctx.alloc(), declaredBytes, maxBytes, this);
+        body = newBody;
+        newBody.claim(maxMemoryWaitMillis());
+        if (newBody.isWaiting()) {
+            ctx.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void onGranted() {
+        HttpRequest received = head;
+        if (!continueSent && received != null && HttpUtil.is100ContinueExpected(received)) {
+            continueSent = true;
+            context()
+                    .writeAndFlush(
+                            new DefaultFullHttpResponse(
+                                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        resumeReading();
+    }
+
+    @Override
+    public void onRejected(long retryAfterMillis) {
+        RequestBody rejected = body;
+        CallerRequest decoded = request;
+        if (rejected != null && decoded != null) {
+            forwarder.bodyMemory().onRejected(decoded.id(), rejected.claimedBytes());
+        }
+        reject(ResultCode.MEMORY_FULL, retryAfterMillis);
+        resumeReading();
+    }
+
+    private void resumeReading() {
+        if (!context().channel().config().isAutoRead()) {
+            context().channel().config().setAutoRead(true);
+        }
+        if (!pipelinedMessages.isEmpty()) {
+            context().executor().execute(this::acceptPipelined);
         }
     }
 
     private void acceptBody(HttpContent content) {
-        CompositeByteBuf bodySoFar = body;
+        RequestBody bodySoFar = body;
         HttpRequest received = head;
         CallerRequest decoded = request;
         if (bodySoFar == null || received == null || decoded == null) {
             content.release();
             return;
         }
+        if (bodySoFar.isWaiting()) {
+            postpone(content);
+            return;
+        }
         if (content.decoderResult().isFailure()) {
             content.release();
-            reject(ResultCode.MALFORMED_REQUEST);
+            reject(ResultCode.MALFORMED_REQUEST, 0);
+            return;
+        }
+        int bytes = bodyBytes(content);
+        if (bodySoFar.exceedsMaximum(bytes)) {
+            content.release();
+            reject(ResultCode.BODY_TOO_LARGE, 0);
             return;
         }
-        heldBodyBytes += content.content().readableBytes();
-        forwarder.onBodyBytes(content.content().readableBytes());
-        bodySoFar.addComponent(true, content.content());
-        if (bodySoFar.readableBytes() > forwarder.limits().maxBodyBytes()) {
-            reject(ResultCode.BODY_TOO_LARGE);
+        if (!bodySoFar.hasRoom(bytes)) {
+            postpone(content);
+            bodySoFar.claimMaximum(maxMemoryWaitMillis());
             return;
         }
+        bodySoFar.append(content.content());
+        content.release();
         if (content instanceof LastHttpContent) {
             body = null;
-            Exchange newExchange = new Exchange(forwarder, this, received, decoded, bodySoFar);
+            Exchange newExchange =
+                    new Exchange(
+                            forwarder, this, received, decoded, bodySoFar.complete(), headMillis);
             exchange = newExchange;
             newExchange.start();
         }
     }
 
-    /** Refuses a malformed or oversized request and closes the connection. */
-    private void reject(ResultCode code) {
+    /** Keeps a part of a body until there is memory for it; nothing more is read meanwhile. */
+    private void postpone(HttpContent content) {
+        pipelinedMessages.addFirst(content);
+        pipelinedBytes += bodyBytes(content);
+        context().channel().config().setAutoRead(false);
+    }
+
+    /**
+     * Refuses a request that is malformed, oversized or not read, and closes the connection. What
+     * the caller still sends is discarded for a while; to close earlier would reset the connection,
+     * and the caller might lose the response.
+     */
+    private void reject(ResultCode code, long retryAfterMillis) {
         closing = true;
+        closingMillis = forwarder.timers().nowMillis();
         keepAlive = false;
         releaseBody();
-        FullHttpResponse response = ErrorResponses.create(code, 0);
+        discardPipelined();
+        FullHttpResponse response = ErrorResponses.create(code, retryAfterMillis);
+        CallerRequest decoded = request;
+        if (decoded != null) {
+            forwarder.codec().setRequestId(response.headers(), decoded.id());
+        }
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context().writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        ChannelFuture sent = context().writeAndFlush(response);
+        lingeringResponse = sent;
+        sent.addListener(
+                done -> {
+                    if (done.isSuccess() && context().channel() instanceof DuplexChannel channel) {
+                        channel.shutdownOutput();
+                    }
+                });
+        context().channel().config().setAutoRead(true);
+    }
+
+    private void discardPipelined() {
+        for (Object message : pipelinedMessages) {
+            ReferenceCountUtil.release(message);
+        }
+        pipelinedMessages.clear();
+        pipelinedBytes = 0;
     }
 
     private void releaseBody() {
-        CompositeByteBuf bodySoFar = body;
+        RequestBody bodySoFar = body;
         body = null;
         if (bodySoFar != null) {
             bodySoFar.release();
-            onBodyReleased();
         }
     }
 
-    private void onBodyReleased() {
-        forwarder.onBodyBytes(-heldBodyBytes);
-        heldBodyBytes = 0;
-    }
-
     void sendErrorResponse(String requestId, ResultCode code, long retryAfterMillis) {
         FullHttpResponse response = ErrorResponses.create(code, retryAfterMillis);
         forwarder.codec().setRequestId(response.headers(), requestId);
@@ -250,6 +392,7 @@
     /** Closes the connection, so that the caller cannot take the response for a complete one. */
     void abortResponse() {
         closing = true;
+        closingMillis = forwarder.timers().nowMillis();
         context().close();
     }
 
@@ -257,23 +400,32 @@
         exchange = null;
         head = null;
         request = null;
-        onBodyReleased();
+        continueSent = false;
         lastReadMillis = forwarder.timers().nowMillis();
         if (closing) {
             return;
         }
         if (!keepAlive) {
             closing = true;
+            closingMillis = lastReadMillis;
             context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        context().channel().config().setAutoRead(true);
-        context().executor().execute(this::acceptPipelined);
+        resumeReading();
     }
 
     private void acceptPipelined() {
-        while (exchange == null && !closing && !pipelinedMessages.isEmpty()) {
-            accept(context(), pipelinedMessages.remove());
+        while (exchange == null
+                && !closing
+                && !isWaitingForMemory()
+                && !pipelinedMessages.isEmpty()) {
+            Object message = pipelinedMessages.remove();
+            pipelinedBytes -= bodyBytes(message);
+            accept(context(), message);
+        }
+        // Messages that were decoded before the queue was empty may have stopped the reading again.
+        if (pipelinedMessages.isEmpty() && !isWaitingForMemory()) {
+            context().channel().config().setAutoRead(true);
         }
     }
 
@@ -290,8 +442,7 @@
         server.removeConnection(this);
         closing = true;
         releaseBody();
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
+        discardPipelined();
         Exchange current = exchange;
         if (current != null) {
             current.onCallerDisconnected();
@@ -302,7 +453,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOGGER.atFine().withCause(cause).log("proxy: Connection of a caller failed.");
         if (cause instanceof OutOfMemoryError) {
-            forwarder.onMemoryShort();
+            forwarder.bodyMemory().onRejected(request == null ? "" : request.id(), 0);
         }
         ctx.close();
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
@@ -18,4 +18,15 @@
         long timeoutMillis,
         RequestProfile profile,
         String lastEventId,
-        String resumedRequestId) {}
+        String resumedRequestId) {
+
+    /** Returns how long the caller is kept waiting at a route with a timeout in milliseconds. */
+    long timeoutMillis(long routeTimeoutMillis) {
+        return timeoutMillis > 0 ? Math.min(routeTimeoutMillis, timeoutMillis) : routeTimeoutMillis;
+    }
+
+    /** Returns a part of the caller's timeout, limited to a maximum. */
+    long partOfTimeoutMillis(int divisor, long maxMillis) {
+        return timeoutMillis > 0 ? Math.min(maxMillis, timeoutMillis / divisor) : maxMillis;
+    }
+}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -73,13 +73,14 @@
             CallerConnection caller,
             HttpRequest head,
             CallerRequest request,
-            ByteBuf body) {
+            ByteBuf body,
+            long receivedMillis) {
         this.forwarder = forwarder;
         this.caller = caller;
         this.head = head;
         this.request = request;
         this.body = body;
-        this.receivedMillis = forwarder.timers().nowMillis();
+        this.receivedMillis = receivedMillis;
         this.log = new ExchangeLog(forwarder.log(), forwarder.metrics(), request.id());
         this.streamRecord = new StreamRecord(forwarder, request);
         this.stream = new StreamProgress(request.lastEventId(), this::recordOrigin);
@@ -101,11 +102,9 @@
             route();
             return;
         }
-        long maxWaitMillis = request.timeoutMillis() / CONFIGURATION_WAIT_DIVISOR;
         long waitMillis =
-                maxWaitMillis > 0
-                        ? Math.min(MAX_CONFIGURATION_WAIT_MILLIS, maxWaitMillis)
-                        : MAX_CONFIGURATION_WAIT_MILLIS;
+                request.partOfTimeoutMillis(
+                        CONFIGURATION_WAIT_DIVISOR, MAX_CONFIGURATION_WAIT_MILLIS);
         timeoutTimer = forwarder.timers().schedule(waitMillis, this::route);
     }
 
@@ -147,11 +146,12 @@
             refuse(ResultCode.LINK_FULL, LINK_FULL_RETRY_AFTER_MILLIS);
             return;
         }
-        long timeoutMillis = matchedRoute.timeoutMillis();
-        if (request.timeoutMillis() > 0) {
-            timeoutMillis = Math.min(timeoutMillis, request.timeoutMillis());
-        }
+        long timeoutMillis = request.timeoutMillis(matchedRoute.timeoutMillis());
         deadlineMillis = receivedMillis + timeoutMillis;
+        if (timeoutMillis <= elapsedMillis()) {
+            refuse(ResultCode.BODY_TIMEOUT, 0);
+            return;
+        }
         timeoutTimer =
                 forwarder.timers().schedule(timeoutMillis - elapsedMillis(), this::onTimeout);
         if (matchedRoute.kind() == RequestKind.STREAM && stream.isResumed()) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -18,7 +18,6 @@
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.link.LinkMeter;
-import dev.jayturn.daemon.metrics.DirectMemory;
 import dev.jayturn.daemon.metrics.FleetMetrics;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
@@ -57,7 +56,7 @@
     private @Nullable RouteTable routes;
     private boolean draining;
     private int openRequests;
-    private long heldBodyBytes;
+    private final BodyMemory bodyMemory;
 
     /**
      * Limits on the retries of all entry instances together.
@@ -98,6 +97,7 @@
         this.pools = new UpstreamConnectionPools(loop, timers, codec, linkMeter, source);
         this.quarantine = quarantine;
         this.retryBounds = retryBounds;
+        this.bodyMemory = new BodyMemory(timers, log, metrics);
     }
 
     /**
@@ -178,22 +178,16 @@
 
     /** Returns the number of bytes of callers' bodies that are held, whole or in part. */
     public long heldBodyBytes() {
-        return heldBodyBytes;
+        return bodyMemory.heldBytes();
     }
 
-    void onBodyBytes(long change) {
-        heldBodyBytes += change;
+    /** Returns the number of bytes that are set aside for callers' bodies. */
+    public long claimedBodyBytes() {
+        return bodyMemory.budget().claimedBytes();
     }
 
-    /** Called when a request could not be read because of a lack of memory. */
-    void onMemoryShort() {
-        metrics.recordMemoryRejection();
-        log.event(
-                "memory.short",
-                json -> {
-                    json.writeNumberField("bodies", heldBodyBytes);
-                    json.writeNumberField("direct", DirectMemory.usedBytes());
-                });
+    BodyMemory bodyMemory() {
+        return bodyMemory;
     }
 
     StartupQueue startupQueue() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestFingerprint.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestFingerprint.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.jspecify.annotations.Nullable;
 
@@ -39,7 +40,9 @@
         Hasher hasher = Hashing.sha256().newHasher();
         hasher.putInt(path.length()).putString(path, StandardCharsets.UTF_8);
         hasher.putInt(customer.length()).putString(customer, StandardCharsets.UTF_8);
-        hasher.putBytes(body.nioBuffer());
+        for (ByteBuffer part : body.nioBuffers()) {
+            hasher.putBytes(part);
+        }
         String created = PREFIX + hasher.hash().toString().substring(0, DIGITS);
         digest = created;
         return created;
