--- a/jayturn-core/src/main/java/dev/jayturn/core/configuration/ConfigurationChecker.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/configuration/ConfigurationChecker.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.result.ResultCode;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -23,7 +24,8 @@
         Set<String> hostsAndPrefixes = new HashSet<>();
         for (Route route : configuration.routes()) {
             checkRoute(route, services);
-            if (!hostsAndPrefixes.add(route.host() + ' ' + route.pathPrefix())) {
+            if (!hostsAndPrefixes.add(
+                    route.host().toLowerCase(Locale.ROOT) + ' ' + route.pathPrefix())) {
                 throw new ConfigurationException(
                         ResultCode.CONFIGURATION_ROUTE_CLASH, "route " + route.name());
             }
@@ -51,7 +53,7 @@
             totalWeight += serviceWeight.weight();
         }
         // The negated comparison also rejects NaN.
-        if (!(totalWeight > 0)) {
+        if (!(totalWeight > 0) || Double.isInfinite(totalWeight)) {
             throw new ConfigurationException(ResultCode.CONFIGURATION_NO_WEIGHT, location);
         }
     }
--- a/jayturn-core/src/test/java/dev/jayturn/core/configuration/ConfigurationCheckerTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/configuration/ConfigurationCheckerTest.java
@@ -5,7 +5,6 @@
 
 import java.util.Arrays;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class ConfigurationCheckerTest {
@@ -34,14 +33,12 @@
                 .doesNotThrowAnyException();
     }
 
-    @Tag("known-red")
     @Test
     void hostsThatDifferInCaseOnlyAreTheSameHost() {
         assertThatThrownBy(() -> check(route("a.example", 1), route("A.Example", 1)))
                 .isInstanceOf(ConfigurationException.class);
     }
 
-    @Tag("known-red")
     @Test
     void weightsWhoseSumCannotBeRepresentedAreRejected() {
         assertThatThrownBy(() -> check(route("a.example", 1e308, 1e308)))
