Keep accepting after a process was out of descriptors

Callers see: an instance that was out of descriptors for a moment serves nothing any more, or all its connections end. By hand on: an entry process whose limit of descriptors was lowered ended with status 1 at the next connection, without a line of log; with a handler that prints, "NoClassDefFoundError: Could not initialize class java.time.zone.ZoneRulesProvider" in the event loop's thread.

Cause: the failed accept is the first thing that is logged, and the first line of the log opens files: the time zones. Netty logs outside of any task, so the error ends the loop. The same holds for any first line of the log while there are no descriptors. What the log needs is now loaded after the start, and the reason of an end is written to standard error without a logger.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/JayturndMain.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/JayturndMain.java
@@ -26,6 +26,7 @@
     /** Runs a daemon until it has drained. */
     public static void main(String[] args) throws InterruptedException {
         FatalErrors.endProcessOnUncaught();
+        FatalErrors.prepareLogging();
         ArgumentParser parser =
                 ArgumentParsers.newFor("jayturnd")
                         .build()
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/loop/FatalErrors.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/loop/FatalErrors.java
@@ -1,6 +1,9 @@
 package dev.jayturn.daemon.loop;
 
-import com.google.common.flogger.FluentLogger;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -8,7 +11,6 @@
  * process without that part would still look well to its peers.
  */
 public final class FatalErrors {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int EXIT_FAILED = 1;
 
     private FatalErrors() {}
@@ -19,13 +21,25 @@
                 (thread, error) -> endProcess("thread " + thread.getName() + " ended", error));
     }
 
-    /** Logs a reason and ends the process at once. */
+    /** Writes a reason to standard error and ends the process at once. */
     public static void endProcess(String reason, @Nullable Throwable cause) {
         try {
-            LOGGER.atSevere().withCause(cause).log("process: Ending: %s.", reason);
+            // Not through a logger, which may be what has failed.
+            System.err.println("process: Ending: " + reason);
+            if (cause != null) {
+                cause.printStackTrace();
+            }
         } finally {
-            // Logging may fail as well, for example without memory.
             Runtime.getRuntime().halt(EXIT_FAILED);
         }
     }
+
+    /**
+     * Loads what the first log line needs, such as time zones. A process that is out of descriptors
+     * could not load it, and the loop that logs the failed accept would end.
+     */
+    public static void prepareLogging() {
+        new SimpleFormatter().format(new LogRecord(Level.INFO, ""));
+        Logger.getLogger("").getHandlers();
+    }
 }
