Add a failing test for a torn group of records that was never synced

Several records are written at once and synced once.

It stays for now: without a mark that a sync has ended, a torn group and a damaged durable one look the same, and what was durable and is damaged must still be refused.

--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FailingDisk.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FailingDisk.java
@@ -12,6 +12,7 @@
     private volatile boolean syncsFail;
     private volatile boolean opensFail;
     private volatile boolean throwing;
+    private volatile boolean powerLost;
 
     /** Lets each write store half of its bytes and fail. */
     void setFull(boolean isFull) {
@@ -33,6 +34,11 @@
         throwing = isThrowing;
     }
 
+    /** Lets no sync of what was written come to its end. */
+    void losePower() {
+        powerLost = true;
+    }
+
     @Override
     public JournalFile open(Path path, long length) throws IOException {
         if (opensFail) {
@@ -41,6 +47,7 @@
         JournalFile file = JournalFile.open(path, length);
         return new JournalFile() {
             private long syncedBytes = length;
+            private boolean appended;
 
             @Override
             public void append(ByteBuffer bytes) throws IOException {
@@ -53,10 +60,14 @@
                     throw new IOException("no space left");
                 }
                 file.append(bytes);
+                appended = true;
             }
 
             @Override
             public void sync() throws IOException {
+                if (powerLost && appended) {
+                    throw new IOException("the sync did not end");
+                }
                 byte[] written = Files.readAllBytes(path);
                 if (syncsFail) {
                     Arrays.fill(written, (int) syncedBytes, written.length, (byte) 0);
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FailingDiskTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/journal/FailingDiskTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -187,4 +188,24 @@
         assertThat(becomesDurable()).isTrue();
         assertThat(durable).containsExactly(1);
     }
+
+    @Test
+    @Tag("known-red")
+    void groupThatWasNeverSyncedMayBeTornAtItsBeginning() throws Exception {
+        append(0);
+        assertThat(becomesDurable()).isTrue();
+        int durableBytes = (int) Files.size(file);
+        disk.losePower();
+        append(1);
+        failed.await();
+        append(2);
+        append(3);
+        // The next attempt writes the three records at once.
+        Thread.sleep(200);
+        journal.close();
+        byte[] content = Files.readAllBytes(file);
+        content[durableBytes + JournalFormat.HEADER_BYTES] ^= 1;
+        Files.write(file, content);
+        assertThat(recover()).isEqualTo(records(1));
+    }
 }
--- a/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
+++ b/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
@@ -26,6 +26,7 @@
 import dev.jayturn.core.resumption.OriginRecord;
 import dev.jayturn.core.resumption.OriginShare;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -67,6 +68,15 @@
         assertThat(MessageCodec.decodeMessage(MessageCodec.encode(query))).isEqualTo(query);
     }
 
+    @Test
+    void bytesAfterARecordAreIgnored() throws IOException {
+        LogEntry entry = new LogEntry(2, 3, new MemberChange(List.of()));
+        byte[] bytes = MessageCodec.encode(entry);
+        byte[] longer = Arrays.copyOf(bytes, bytes.length + 16);
+        Arrays.fill(longer, bytes.length, longer.length, (byte) 0x5A);
+        assertThat(MessageCodec.decodeRecord(longer)).isEqualTo(entry);
+    }
+
     @Test
     void journalRecordRoundTrips() throws IOException {
         LogEntry entry = new LogEntry(7, 2, new MemberChange(List.of()));
