Bound the memory of documents that are sent to a control instance

What senders saw: 20 who send 6 of 8 MiB to one control instance at once use up its direct memory (48 MiB); some of their connections are reset without an answer, and so is whatever is read in that moment, heartbeats of upstreams and messages of other instances included.

Cause: HttpObjectAggregator takes up to 8 MiB per connection, with no bound on the sum: the same as at entry instances.

ApiBodyLimiter claims the memory first (half of the direct memory, SharedMemoryBudget); a request for which there is none gets 503 at once, and what its sender still sends is discarded, so that the answer arrives. Readiness and metrics take bodies of 64 KiB at most. A user event other than the idle timeout no longer closes a connection: the half-close is one.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -166,7 +166,7 @@
         controlInstance.setConfigurationListener(new ConfigurationLog(log));
         StuckLeaderCheck.start(timers, raft, journal, this::logResignation);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
-        new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, apiHandler)
+        HttpApiServer.forDocuments(loop, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
         serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
         logStart(self, storeId);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/HttpApiServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/HttpApiServer.java
@@ -1,7 +1,11 @@
 package dev.jayturn.daemon.fleet;
 
 import com.google.common.flogger.FluentLogger;
+import dev.jayturn.core.limits.MemoryBudget;
+import dev.jayturn.core.limits.SharedMemoryBudget;
+import dev.jayturn.daemon.link.EventLoopTimers;
 import dev.jayturn.daemon.link.ServerSockets;
+import dev.jayturn.daemon.metrics.DirectMemory;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -18,6 +22,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 
@@ -25,16 +30,38 @@
 final class HttpApiServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAX_BODY_BYTES = 8 << 20;
+
+    /** The rest is for messages of other instances and for responses. */
+    private static final double BODY_SHARE_OF_DIRECT_MEMORY = 0.5;
+
     private static final int IDLE_TIMEOUT_SECONDS = 30;
 
     private final EventLoop loop;
     private final CharSequence contentType;
     private final HttpHandler handler;
+    private final int maxBodyBytes;
+    private final MemoryBudget budget;
 
-    HttpApiServer(EventLoop loop, CharSequence contentType, HttpHandler handler) {
+    private HttpApiServer(
+            EventLoop loop, CharSequence contentType, HttpHandler handler, int maxBodyBytes) {
         this.loop = loop;
         this.contentType = contentType;
         this.handler = handler;
+        this.maxBodyBytes = maxBodyBytes;
+        this.budget =
+                new SharedMemoryBudget(
+                        new EventLoopTimers(loop),
+                        (long) (DirectMemory.maxBytes() * BODY_SHARE_OF_DIRECT_MEMORY));
+    }
+
+    /** Creates a server whose requests may have long bodies. */
+    static HttpApiServer forDocuments(EventLoop loop, HttpHandler handler) {
+        return new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, handler, MAX_BODY_BYTES);
+    }
+
+    /** Creates a server whose requests have no bodies, or short ones. */
+    HttpApiServer(EventLoop loop, CharSequence contentType, HttpHandler handler) {
+        this(loop, contentType, handler, MemoryBudget.SHORT_CLAIM_BYTES);
     }
 
     /** Listens at an address; the process ends if it cannot be bound. */
@@ -48,14 +75,22 @@
     }
 
     private void initPipeline(Channel channel) {
+        ApiBodyLimiter limiter = new ApiBodyLimiter(budget, maxBodyBytes);
         channel.pipeline()
                 .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS))
                 .addLast(new HttpServerCodec())
-                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                .addLast(new RequestHandler());
+                .addLast(limiter)
+                .addLast(new HttpObjectAggregator(maxBodyBytes))
+                .addLast(new RequestHandler(limiter));
     }
 
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final ApiBodyLimiter limiter;
+
+        RequestHandler(ApiBodyLimiter limiter) {
+            this.limiter = limiter;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             if (request.decoderResult().isFailure()) {
@@ -64,6 +99,7 @@
             }
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             handler.handle(request, (status, body) -> respond(ctx, keepAlive, status, body));
+            limiter.release();
         }
 
         private void respond(
@@ -86,7 +122,9 @@
 
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-            ctx.close();
+            if (event instanceof IdleStateEvent) {
+                ctx.close();
+            }
         }
 
         @Override
