Bound what waits for an instance that does not read

Not seen in a run of the processes.

Beyond 8 MiB unsent, a message is dropped, like one beyond the queue of a connection that is not established. The ping is still sent, so that the connection is closed as before.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/OutboundConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/OutboundConnection.java
@@ -5,18 +5,26 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A connection that this instance opened to another instance. Messages sent before it is
- * established are queued, up to a limit; messages beyond it are dropped.
+ * established are queued, up to a limit, as are those that the other instance does not read;
+ * messages beyond it are dropped. Their senders repeat what matters.
  */
 final class OutboundConnection extends SimpleChannelInboundHandler<ByteBuf> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAX_PENDING_MESSAGES = 256;
+
+    /** Bytes that a peer has not read above which further messages are dropped. */
+    private static final long MAX_UNSENT_BYTES = 8 << 20;
+
+    private static final int LOG_INTERVAL_SECONDS = 5;
     private static final long PONG_TIMEOUT_MILLIS = 1_500;
     private static final long RECONNECT_DELAY_MILLIS = 250;
 
@@ -64,7 +72,12 @@
             }
             return;
         }
-        write(activeChannel, body);
+        if (unsentBytes(activeChannel) <= MAX_UNSENT_BYTES) {
+            write(activeChannel, body);
+        } else {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "link: Dropped a message to an instance that does not read.");
+        }
         if (pingSentMillis == 0) {
             pingSentMillis = lastSendMillis;
             activeChannel.write(activeChannel.alloc().buffer(1).writeByte(LinkTransport.PING));
@@ -72,6 +85,11 @@
         activeChannel.flush();
     }
 
+    private static long unsentBytes(Channel activeChannel) {
+        ChannelOutboundBuffer buffer = activeChannel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     private static void write(Channel activeChannel, byte[] body) {
         ByteBuf frame = activeChannel.alloc().buffer(body.length + 1);
         frame.writeByte(LinkTransport.MESSAGE).writeBytes(body);
