--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/HttpApiServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/HttpApiServer.java
@@ -29,7 +29,7 @@
 /** A small HTTP server that passes each request with its complete body to a handler. */
 final class HttpApiServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int MAX_BODY_BYTES = 8 << 20;
+    static final int MAX_BODY_BYTES = 8 << 20;
 
     /** The rest is for messages of other instances and for responses. */
     private static final double BODY_SHARE_OF_DIRECT_MEMORY = 0.5;
