--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
@@ -290,6 +290,7 @@
             peer.snapshotOffset = 0;
         }
         List<JournalRecord> items = log.snapshotItems();
+        peer.snapshotSize = items.size();
         int end = Math.min(items.size(), peer.snapshotOffset + MAX_CHUNK_ITEMS);
         InstallChunk chunk =
                 new InstallChunk(
@@ -310,7 +311,8 @@
         if (!peer.isInstallingSnapshot() || reply.index() != peer.snapshotIndex) {
             return;
         }
-        if (reply.nextOffset() > log.snapshotItems().size()) {
+        // A newer snapshot may have replaced this one, so its own size counts.
+        if (reply.nextOffset() > peer.snapshotSize) {
             peer.snapshotOffset = -1;
             peer.matchIndex = Math.max(peer.matchIndex, reply.index());
             peer.nextIndex = reply.index() + 1;
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Progress.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Progress.java
@@ -16,6 +16,9 @@
 
     long snapshotIndex;
 
+    /** Number of items of the snapshot that is being installed. */
+    int snapshotSize;
+
     /** Time when entries or a snapshot chunk were last sent; empty heartbeats do not count. */
     long lastSendMillis;
 
--- a/jayturn-core/src/test/java/dev/jayturn/core/consensus/SnapshotTransferTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/consensus/SnapshotTransferTest.java
@@ -13,7 +13,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A leader sends a snapshot of several chunks to a learner, which this test plays. */
@@ -108,7 +107,6 @@
         return leader.members().contains(new Member(LEARNER, true));
     }
 
-    @Tag("known-red")
     @Test
     void partOfASnapshotIsNotCountedAsAWholeAfterASmallerOneReplacedIt() {
         InstallChunk first = firstChunk();
