Continue streams only while the upstreams are known as they are now

Cause: StreamOrigin and Dispatcher take versions from the newest heartbeats that the instance has heard, and nothing asked how old these are.

Now an entry instance continues no stream, within a response or over two, unless it has heard the leader or most control instances within 1 s, without a lost update, and has not stood still for 1 s; updates read within 0.3 s after a pause don't count, as they may have waited in a buffer (DirectoryFreshness). It asks at placement and once more when the connection is open. New requests are served as before. Records of origins stay at the instance meanwhile; once it is in step they are sent, or made unknown from the last update on if some upstream came back with another version (StaleOriginGuard). Streams that were begun while cut off can so be resumed elsewhere later, which they could not before.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +28,7 @@
     private final PlacementPolicy placement;
     private final RandomSource random;
     private RateLimits rateLimits = RateLimits.NONE;
+    private BooleanSupplier directoryCheck = () -> true;
 
     public Dispatcher(UpstreamRegistry upstreams, PlacementPolicy placement, RandomSource random) {
         this.upstreams = upstreams;
@@ -39,6 +41,14 @@
         rateLimits = limits;
     }
 
+    /**
+     * Sets the check whether the upstreams are known as they are now. While they are not, no stream
+     * goes on at any of them: another version may run there.
+     */
+    public void setDirectoryCheck(BooleanSupplier check) {
+        directoryCheck = check;
+    }
+
     /**
      * A request that has not been answered yet.
      *
@@ -136,12 +146,15 @@
                 choice.upstream(), choice.expectedMillis(), ResultCode.OK, 0, candidates.size());
     }
 
-    private static List<UpstreamLoad> upstreamsThatContinue(
+    private List<UpstreamLoad> upstreamsThatContinue(
             @Nullable StreamOrigin origin, List<UpstreamLoad> upstreams) {
-        return origin == null
-                ? upstreams
-                : upstreams.stream()
+        if (origin == null) {
+            return upstreams;
+        }
+        return directoryCheck.getAsBoolean()
+                ? upstreams.stream()
                         .filter(upstream -> origin.isContinuedBy(upstream.heartbeat()))
-                        .toList();
+                        .toList()
+                : List.of();
     }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
@@ -25,6 +25,7 @@
     private final Map<String, Long> leavingIncarnations = new HashMap<>();
 
     private final ToLongFunction<String> cacheTokens;
+    private long versionChanges;
 
     /**
      * Creates an empty registry.
@@ -51,6 +52,11 @@
         if (!isNews) {
             return null;
         }
+        if (previous != null
+                && !previous.softwareVersion().equals(heartbeat.softwareVersion())
+                && !heartbeat.hasDeparted()) {
+            versionChanges++;
+        }
         newestHeartbeats.put(
                 heartbeat.id(), previous == null ? heartbeat : heartbeat.replacing(previous));
         boolean ownsAddress = !heartbeat.hasDeparted() && assignAddress(heartbeat);
@@ -78,6 +84,9 @@
         if (newestHeartbeats.size() < MAX_UPSTREAMS) {
             return true;
         }
+        if (readyById.size() == newestHeartbeats.size()) {
+            return false;
+        }
         for (Heartbeat known : newestHeartbeats.values()) {
             if (!readyById.containsKey(known.id())) {
                 newestHeartbeats.remove(known.id());
@@ -138,6 +147,11 @@
         return readyById.get(upstream.heartbeat().id()) == upstream;
     }
 
+    /** Returns how often an upstream has come back under its id with another software version. */
+    public long versionChanges() {
+        return versionChanges;
+    }
+
     /** Returns the newest heartbeat with the id of another one, which may be of a later start. */
     public Heartbeat newestOf(Heartbeat heartbeat) {
         return newestHeartbeats.getOrDefault(heartbeat.id(), heartbeat);
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.directory.DirectoryFreshness;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.slice.ClockReading;
@@ -78,6 +79,7 @@
     private boolean leaderKnown;
     private boolean grantsReceived;
     private final long processStartMillis;
+    private final DirectoryFreshness directoryFreshness;
 
     /** What this instance knows about one control instance. */
     private static final class ControlInstanceState {
@@ -116,6 +118,7 @@
         this.holder = newHolder();
         this.startedAt = startedAt;
         this.processStartMillis = timers.nowMillis();
+        this.directoryFreshness = new DirectoryFreshness(processStartMillis, listener);
         this.tokenTransfers =
                 new TokenTransfers(
                         self, dataCentre, slices, transport, timers, random, listener::onSlices);
@@ -189,6 +192,11 @@
         return !grantsReceived && timers.nowMillis() - processStartMillis < START_GRACE_MILLIS;
     }
 
+    /** Returns whether this instance knows the upstreams as they are now. */
+    public boolean isDirectoryCurrent() {
+        return directoryFreshness.isCurrent(timers.nowMillis());
+    }
+
     /** Returns whether the leader has sent an update recently. */
     public boolean isLeaderReachable() {
         return timers.nowMillis() - lastLeaderUpdateMillis < LEADER_TIMEOUT_MILLIS;
@@ -244,6 +252,7 @@
     }
 
     private void tick() {
+        directoryFreshness.check(timers.nowMillis());
         ticks++;
         if (entryCount <= MAX_ENTRIES_AT_FULL_RATE || ticks % 2 == 0) {
             report();
@@ -299,6 +308,7 @@
 
     private void onUpdate(FleetUpdate update) {
         long now = timers.nowMillis();
+        directoryFreshness.check(now);
         if (update.retired()) {
             holder = newHolder();
             startedAt = readClock();
@@ -333,7 +343,14 @@
             control.tableEpoch = update.tableEpoch();
             control.tableRevision = 0;
         }
-        if (update.tableSince() <= control.tableRevision) {
+        boolean isComplete = update.tableSince() <= control.tableRevision;
+        directoryFreshness.onUpdate(
+                update.from(),
+                update.from().equals(update.leader()),
+                isComplete,
+                controls.size(),
+                now);
+        if (isComplete) {
             // Otherwise an earlier update was lost, and the next report asks for its changes again.
             control.tableRevision = Math.max(control.tableRevision, update.tableRevision());
         }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetListener.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetListener.java
@@ -1,6 +1,7 @@
 package dev.jayturn.core.fleet;
 
 import dev.jayturn.core.configuration.ConfigurationException;
+import dev.jayturn.core.directory.DirectoryFreshness;
 import dev.jayturn.core.directory.Heartbeat;
 import java.util.List;
 
@@ -8,7 +9,7 @@
  * Receives the changes that an entry instance learns from control instances and peers; every call
  * comes on the entry instance's own thread.
  */
-public interface FleetListener {
+public interface FleetListener extends DirectoryFreshness.Listener {
     /**
      * Called when a newer configuration comes into force.
      *
--- a/jayturn-core/src/main/java/dev/jayturn/core/resumption/StreamOrigins.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/resumption/StreamOrigins.java
@@ -5,9 +5,11 @@
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,6 +38,9 @@
     private static final int MAX_RECORDS = 20_000;
     private static final long EXPIRY_INTERVAL_MILLIS = 2_000;
 
+    /** Records older than this can no longer be retracted. */
+    private static final long RECENT_MILLIS = 60_000;
+
     /** A query is repeated after this time; the connection that it was sent over may be dead. */
     private static final long REPEAT_MILLIS = 100;
 
@@ -49,7 +54,11 @@
     private final OriginTable table = new OriginTable(MAX_RECORDS);
     private final Map<Long, OriginRecord> unsent = new LinkedHashMap<>();
     private final Map<Long, Search> searches = new HashMap<>();
+    private final Deque<RecentRecord> recentRecords = new ArrayDeque<>();
     private boolean sendPending;
+    private boolean held;
+
+    private record RecentRecord(long millis, OriginRecord record) {}
 
     /** A search for the origin of one stream, for one or more requests. */
     private static final class Search {
@@ -81,18 +90,56 @@
      */
     public void put(long stream, StreamOrigin origin, long lifetimeMillis) {
         table.put(stream, origin, lifetimeMillis, timers.nowMillis());
-        unsent.put(
-                stream,
+        OriginRecord added =
                 new OriginRecord(
-                        stream, origin.service(), origin.softwareVersion(), lifetimeMillis));
+                        stream, origin.service(), origin.softwareVersion(), lifetimeMillis);
+        unsent.put(stream, added);
+        if (unsent.size() > MAX_RECORDS) {
+            unsent.remove(unsent.keySet().iterator().next());
+        }
+        addRecent(added);
         if (!sendPending) {
             sendPending = true;
             timers.schedule(BATCH_MILLIS, this::sendBatches);
         }
     }
 
+    private void addRecent(OriginRecord added) {
+        long now = timers.nowMillis();
+        recentRecords.addLast(new RecentRecord(now, added));
+        while (recentRecords.size() > MAX_RECORDS
+                || now - recentRecords.getFirst().millis() > RECENT_MILLIS) {
+            recentRecords.removeFirst();
+        }
+    }
+
+    /** Keeps new records at this instance, because the upstreams may not be as it knows them. */
+    public void hold() {
+        held = true;
+    }
+
+    /**
+     * Sends the records that were held back, and from now on each new one.
+     *
+     * @param retractedSinceMillis origins that were recorded since then become unknown; {@link
+     *     Long#MAX_VALUE} if all of them were right
+     */
+    public void release(long retractedSinceMillis) {
+        held = false;
+        for (RecentRecord recent : List.copyOf(recentRecords)) {
+            if (recent.millis() >= retractedSinceMillis) {
+                OriginRecord made = recent.record();
+                put(made.stream(), StreamOrigin.UNKNOWN, made.remainingMillis());
+            }
+        }
+        sendBatches();
+    }
+
     private void sendBatches() {
         sendPending = false;
+        if (held) {
+            return;
+        }
         Map<String, List<OriginRecord>> batches = new LinkedHashMap<>();
         for (OriginRecord origin : unsent.values()) {
             for (String holder : holdersOf(origin.stream())) {
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -16,6 +16,7 @@
 import dev.jayturn.core.quarantine.QuarantineListener;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StaleOriginGuard;
 import dev.jayturn.core.resumption.StreamOrigins;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceAccounts;
@@ -220,6 +221,7 @@
         final Quarantine quarantine;
         final UpstreamRateLimiter limiter;
         final StreamOrigins origins;
+        final StaleOriginGuard originGuard;
         final UpstreamRegistry upstreams = new UpstreamRegistry(service -> 1_000);
         final Dispatcher dispatcher;
         long configurationVersion;
@@ -270,9 +272,21 @@
                             upstreams,
                             new ExpectedTimePlacement(new Location(dataCentre, Map.of()), source),
                             source);
+            originGuard = new StaleOriginGuard(origins, upstreams::versionChanges);
+            dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
             process.onMessage((to, message) -> receive(message));
         }
 
+        @Override
+        public void onDirectoryOutdated() {
+            originGuard.onDirectoryOutdated();
+        }
+
+        @Override
+        public void onDirectoryCurrent(long sinceMillis) {
+            originGuard.onDirectoryCurrent(sinceMillis);
+        }
+
         private void receive(Message message) {
             if (message instanceof EvidenceShare share) {
                 quarantine.onShare(share);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -25,6 +25,7 @@
 import dev.jayturn.core.ratelimit.RateLimitListener;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StaleOriginGuard;
 import dev.jayturn.core.resumption.StreamOrigins;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
@@ -99,6 +100,7 @@
     private @Nullable PeerLoads peerLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
     private @Nullable StreamOrigins streamOrigins;
+    private @Nullable StaleOriginGuard originGuard;
     private @Nullable RouteTable routeTable;
 
     public EntryProcess(
@@ -181,6 +183,7 @@
         rateLimiter = limiter;
         StreamOrigins origins = new StreamOrigins(self, timers, transport, entry::controlAddresses);
         streamOrigins = origins;
+        originGuard = new StaleOriginGuard(origins, upstreamRegistry::versionChanges);
         forwarder.setEntryInstance(entry, loads, limiter, origins);
         EvidenceSharing evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, entry::controlAddresses);
@@ -211,6 +214,8 @@
         metrics.registerGauge("jayturn.configuration.version", this::obeyedVersion);
         metrics.registerGauge("jayturn.configuration.held", entry::configurationVersion);
         metrics.registerGauge("jayturn.configuration.newest", entry::newestVersion);
+        metrics.registerGauge(
+                "jayturn.directory.current", () -> entry.isDirectoryCurrent() ? 1 : 0);
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
         new HttpApiServer(loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics))
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
@@ -357,6 +362,26 @@
                 });
     }
 
+    @Override
+    public void onDirectoryOutdated() {
+        StaleOriginGuard guard = originGuard;
+        if (guard != null) {
+            guard.onDirectoryOutdated();
+        }
+        log.event("directory.outdated", json -> {});
+    }
+
+    @Override
+    public void onDirectoryCurrent(long sinceMillis) {
+        StaleOriginGuard guard = originGuard;
+        if (guard != null) {
+            guard.onDirectoryCurrent(sinceMillis);
+        }
+        log.event(
+                "directory.current",
+                json -> json.writeNumberField("age", timers.nowMillis() - sinceMillis));
+    }
+
     @Override
     public void onSlices() {
         forwarder.onSlices();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -145,7 +145,9 @@
         // The limit may have been named while the connection was being opened.
         permitHeld = permitHeld || forwarder.acquirePermit(upstream);
         boolean lacksPermit = !permitHeld && forwarder.needsPermit(upstream);
-        if (lacksPermit || !forwarder.acceptsRequests(upstream)) {
+        boolean mayBeOtherVersion =
+                exchange.stream().origin() != null && !forwarder.isDirectoryCurrent();
+        if (lacksPermit || mayBeOtherVersion || !forwarder.acceptsRequests(upstream)) {
             recordEnd();
             exchange.onFailure(this, Failure.WITHDRAWN);
             return false;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -114,6 +114,13 @@
         rateLimiter = limiter;
         streamOrigins = origins;
         dispatcher.setRateLimits(limiter);
+        dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
+    }
+
+    /** Returns whether this instance knows the upstreams as they are now. */
+    boolean isDirectoryCurrent() {
+        EntryInstance instance = entryInstance;
+        return instance != null && instance.isDirectoryCurrent();
     }
 
     void onLoadChange() {
