Keep an upstream that answers 421 to one caller

Callers: after one request with an Expected-Version that no upstream had, the instance sent requests to none of the upstreams that had answered 421, and refused all callers (503), until an upstream started again.

Cause: a 421 was taken to mean that another upstream has the address, and the upstream was removed from the registry until a heartbeat changed in more than its sequence. An upstream also answers 421 if a caller expects other weights, and callers choose that header.

Now it is suspended for a while like after a failed connection. If another upstream has the address, its heartbeat takes the address over as before; until then it gets a request after each suspension, which it does not run.

Evidence: UpstreamNoticesTest.upstreamThatDeclinesTheWeightsThatOneCallerExpectsServesOthers got 503 for the second caller on the code before, and the upstream's response now; ForwardingTest, OddHeartbeatTest, ResumedStreamVersionTest, UpstreamRegistryTest and OutdatedDirectoryFleetTest pass.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
@@ -162,6 +162,15 @@
         failureRate += SMOOTHING_FACTOR * (1 - failureRate);
     }
 
+    /**
+     * Records that the upstream declined a request as meant for another one, and suspends it like
+     * after a failed connection. Another upstream may have its address now, of which a heartbeat
+     * will tell; or it has only other weights than that caller expects.
+     */
+    public void requestMisdirected(long nowMillis) {
+        connectionFailed(nowMillis);
+    }
+
     /**
      * Records a failed connection and suspends the upstream; the suspension doubles with each
      * failure in a row, up to a limit.
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamRegistry.java
@@ -133,7 +133,7 @@
             return false;
         }
         leavingIncarnations.put(heartbeat.id(), heartbeat.incarnation());
-        remove(upstream);
+        readyById.remove(heartbeat.id(), upstream);
         return true;
     }
 
@@ -157,11 +157,6 @@
         return newestHeartbeats.getOrDefault(heartbeat.id(), heartbeat);
     }
 
-    /** Removes an upstream that turned out not to be at its address any more. */
-    public void remove(UpstreamLoad upstream) {
-        readyById.remove(upstream.heartbeat().id(), upstream);
-    }
-
     /** Returns the upstreams of a service that accept new requests. */
     public List<UpstreamLoad> ofService(String service) {
         List<UpstreamLoad> found = new ArrayList<>();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -366,7 +366,7 @@
                 quarantineCheck.fingerprint());
         switch (failure) {
             case MISDIRECTED:
-                forwarder.upstreams().remove(failed.upstream());
+                failed.upstream().requestMisdirected(forwarder.timers().nowMillis());
                 history.onMisdirected();
                 retryOrFail(failure, history.tryRetryUnsent());
                 break;
