Complete a response without a length only at an orderly end

Callers got a part of a response as a whole one (MIXED) when the upstream answered without a length before it had read the request, and the connection was then reset.

Cause: the write of the request failed first and closed the connection without marking it as failed, and the decoder ends a response without a length at any close.

Now the end of the connection completes such a response only if the upstream closed it in order after the whole request had been written. Every close by this side while a response is due marks the connection as failed. Responses without a body by their status or method (204, 304, HEAD) are complete at their heads, so their connections are kept.

An upstream that half-closes before it has read the request is now cut off too.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -124,11 +124,17 @@
                         done -> {
                             requestWritten = done.isSuccess();
                             if (!done.isSuccess()) {
-                                channel.close();
+                                fail();
                             }
                         });
     }
 
+    /** Closes the connection without completing a response that is delimited by the close. */
+    private void fail() {
+        connectionFailed = true;
+        channel.close();
+    }
+
     /** Closes the connection, upon which most upstreams stop executing the request. */
     void abort() {
         listener = null;
@@ -161,7 +167,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            channel.close();
+            fail();
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -186,7 +192,7 @@
         skippingResponse = !merged && (informational || foreign);
         if (skippingResponse) {
             if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
-                channel.close();
+                fail();
             }
             return;
         }
@@ -197,7 +203,8 @@
         }
         headReceived = true;
         boolean framed =
-                HttpUtil.isTransferEncodingChunked(response)
+                decoder.isBodiless(response)
+                        || HttpUtil.isTransferEncodingChunked(response)
                         || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
         closeDelimited = !framed;
         keepAlive = framed && HttpUtil.isKeepAlive(response);
@@ -235,7 +242,10 @@
             return;
         }
         UpstreamListener responseListener = listener;
-        if (responseListener == null || !headReceived || (last && connectionFailed)) {
+        if (responseListener == null || !headReceived) {
+            return;
+        }
+        if (last && closeDelimited && !isEndedByUpstream()) {
             return;
         }
         if (content.content().isReadable()) {
@@ -248,10 +258,19 @@
         }
     }
 
+    /**
+     * Returns whether the end of the connection is that of the response: the upstream closed it in
+     * order after the whole request. After a reset, or if this side closes the connection, the rest
+     * of the response is missing.
+     */
+    private boolean isEndedByUpstream() {
+        return requestWritten && !connectionFailed;
+    }
+
     private void skip(HttpContent content, boolean last) {
         skippedBytes += content.content().readableBytes();
         if (skippedBytes > MAX_SKIPPED_BYTES) {
-            channel.close();
+            fail();
             return;
         }
         if (!last) {
@@ -285,9 +304,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOGGER.atFine().withCause(cause).log("proxy: Connection to an upstream failed.");
-        // After a reset, a response that is delimited by the close is not complete.
-        connectionFailed = true;
-        ctx.close();
+        fail();
     }
 
     @Override
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamResponseDecoder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Map;
@@ -64,6 +65,11 @@
         ctx.close();
     }
 
+    /** Returns whether a response has no body because of its status or the request's method. */
+    boolean isBodiless(HttpResponse response) {
+        return isContentAlwaysEmpty(response);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return headRequest || super.isContentAlwaysEmpty(message);
