Bound the idle timeout that an upstream names

A Keep-Alive timeout with many digits overflowed and became 0 or arbitrary, so that a connection was never reused or was used after the upstream closed it. It is now at most an hour.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -30,6 +30,9 @@
      */
     private static final long IDLE_TIMEOUT_MARGIN_MILLIS = 1_000;
 
+    /** Longer idle timeouts are shortened to this. */
+    private static final long MAX_IDLE_TIMEOUT_SECONDS = 3_600;
+
     /**
      * Limits on what is read and discarded for one request: informational responses, responses to
      * other requests, and the body of a response that is not forwarded. A faulty upstream may send
@@ -230,7 +233,8 @@
         int end = start + "timeout=".length();
         long seconds = 0;
         while (end < value.length() && Character.isDigit(value.charAt(end))) {
-            seconds = seconds * 10 + value.charAt(end++) - '0';
+            long parsed = seconds * 10 + Character.digit(value.charAt(end++), 10);
+            seconds = Math.min(MAX_IDLE_TIMEOUT_SECONDS, parsed);
         }
         idleTimeoutMillis = Math.max(0, seconds * 1000 - IDLE_TIMEOUT_MARGIN_MILLIS);
     }
