--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
@@ -284,6 +284,8 @@
         JournalFile opened = opener.open(file, durableBytes);
         openFile = opened;
         opened.sync();
+        // The file may have replaced another one right before the process ended or failed.
+        syncParentFolder(file);
         unsyncedContent = null;
         return opened;
     }
