Apply the configuration of an update before the rest of it

Callers would see: a confirmed change is not in force at one entry instance (CONFIG). Cause: found by the review, by reading. The document came after the upstreams in an update; if one of them could not be handled, the whole message failed, each time it was sent again. A stack overflow still closed the connection. Change: the document is applied first; a stack overflow costs its message only.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -336,6 +336,12 @@
             promisedAt = readClock();
             leaseCommitted |= update.leaseKept();
         }
+        // First, so that nothing else in the update can keep the configuration from being applied.
+        configuration.onVersion(update.version());
+        byte[] document = update.document();
+        if (document != null) {
+            configuration.onDocument(new ConfigurationDocument(update.version(), document), now);
+        }
         for (Heartbeat heartbeat : update.upstreams()) {
             listener.onUpstream(heartbeat);
         }
@@ -354,11 +360,6 @@
             // Otherwise an earlier update was lost, and the next report asks for its changes again.
             control.tableRevision = Math.max(control.tableRevision, update.tableRevision());
         }
-        configuration.onVersion(update.version());
-        byte[] document = update.document();
-        if (document != null) {
-            configuration.onDocument(new ConfigurationDocument(update.version(), document), now);
-        }
         for (SliceGrant grant : update.grants()) {
             slices.applyGrant(grant, now);
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/link/LinkTransport.java
@@ -166,7 +166,7 @@
     private void deliver(String peer, Message message) {
         try {
             receiver.accept(message);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             recordFailure(peer, "handler", message.getClass().getSimpleName(), e);
         }
     }
