Refuse a request whose body finds no memory

Callers would see: an upstream gets a body with a part missing (UNASKED), or the caller gets no answer until its time is over. Cause: found by the review, by reading. A part of a pipelined body is read in a task of its own; if no direct memory was left, only that task failed, and later parts were appended.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.internal.OutOfDirectMemoryError;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.jspecify.annotations.Nullable;
@@ -290,8 +291,15 @@
             bodySoFar.claimMaximum(maxMemoryWaitMillis());
             return;
         }
-        bodySoFar.append(content.content());
-        content.release();
+        try {
+            bodySoFar.append(content.content());
+        } catch (OutOfDirectMemoryError e) {
+            // The part would be missing in the body.
+            onRejected(0);
+            return;
+        } finally {
+            content.release();
+        }
         if (content instanceof LastHttpContent) {
             body = null;
             Exchange newExchange =
