Answer every request that arrives in one write

Callers: a connection on which 300 or 1,000 requests came in one write was closed without an answer, though the first one had been passed on.

Cause: Netty's codec throws above 128 requests that are decoded and not answered, which closed the connection; the log said why at a level that is not printed.

Change: the codec admits as many requests as one read can hold; reading stops meanwhile, as before. Failures of a caller's connection other than resets are logged as warnings, one a second at most.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -28,8 +28,11 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.internal.OutOfDirectMemoryError;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
 import org.jspecify.annotations.Nullable;
 
 /** A connection of a caller; its requests are processed one at a time, in order. */
@@ -459,7 +462,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        LOGGER.atFine().withCause(cause).log("proxy: Connection of a caller failed.");
+        // Callers reset connections all the time; anything else is unexpected.
+        LOGGER.at(cause instanceof IOException ? Level.FINE : Level.WARNING)
+                .withCause(cause)
+                .atMostEvery(1, TimeUnit.SECONDS)
+                .log("proxy: Connection of a caller failed.");
         if (cause instanceof OutOfMemoryError) {
             forwarder.bodyMemory().onRejected(request == null ? "" : request.id(), 0);
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
@@ -16,6 +17,12 @@
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
+    /**
+     * Requests of one connection that are decoded and not answered. One read may hold so many, and
+     * the codec decodes all of them; no more is read while they wait.
+     */
+    private static final int MAX_PIPELINED_REQUESTS = 4_096;
+
     /**
      * Bytes buffered for a slow caller above which reading from the upstream stops, until fewer
      * than the low water mark are left.
@@ -57,7 +64,11 @@
                 .addLast(forwarder.linkMeter())
                 .addLast(
                         new HttpServerCodec(
-                                MAX_INITIAL_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
+                                new HttpDecoderConfig()
+                                        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                                        .setMaxHeaderSize(maxHeaderBytes)
+                                        .setMaxChunkSize(MAX_CHUNK_BYTES),
+                                MAX_PIPELINED_REQUESTS))
                 .addLast(new CallerConnection(forwarder, this));
     }
 
