Fetch no response for a caller that does not read

Callers: one caller that sends requests and reads nothing made an entry instance fetch and keep all responses; with an endless response behind them the instance runs out of memory, and the requests of others end with it.

Cause: each attempt began to read whatever the caller's state, and only the event that the caller becomes slow stopped it.

Change: the next request of a connection waits while its caller does not read, which also bounds refusals; an attempt reads only while the caller is writable.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -159,6 +159,11 @@
         return true;
     }
 
+    @Override
+    public boolean acceptsBytes() {
+        return exchange.isCallerWritable();
+    }
+
     @Override
     public void onUnreachable() {
         if (!ended) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -161,7 +161,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (exchange != null || isWaitingForMemory() || !pipelinedMessages.isEmpty()) {
+        if (isBusy() || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(message);
             pipelinedBytes += bodyBytes(message);
             if (pipelinedMessages.size() > MAX_PIPELINED_MESSAGES
@@ -173,6 +173,19 @@
         accept(ctx, message);
     }
 
+    /**
+     * Returns whether the next request has to wait: one is in progress, or the caller does not read
+     * the responses that it has got so far, which would fill the memory.
+     */
+    private boolean isBusy() {
+        return exchange != null || isWaitingForMemory() || !isWritable();
+    }
+
+    /** Returns whether the caller reads as fast as it is sent to. */
+    boolean isWritable() {
+        return context().channel().isWritable();
+    }
+
     private static int bodyBytes(Object message) {
         return message instanceof HttpContent content ? content.content().readableBytes() : 0;
     }
@@ -426,10 +439,7 @@
     }
 
     private void acceptPipelined() {
-        while (exchange == null
-                && !closing
-                && !isWaitingForMemory()
-                && !pipelinedMessages.isEmpty()) {
+        while (!isBusy() && !closing && !pipelinedMessages.isEmpty()) {
             Object message = pipelinedMessages.remove();
             pipelinedBytes -= bodyBytes(message);
             accept(context(), message);
@@ -444,7 +454,9 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         Exchange current = exchange;
         if (current != null) {
-            current.onCallerWritabilityChanged(ctx.channel().isWritable());
+            current.onCallerWritabilityChanged(isWritable());
+        } else if (isWritable() && !closing) {
+            resumeReading();
         }
     }
 
@@ -463,10 +475,8 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         // Callers reset connections all the time; anything else is unexpected.
-        LOGGER.at(cause instanceof IOException ? Level.FINE : Level.WARNING)
-                .withCause(cause)
-                .atMostEvery(1, TimeUnit.SECONDS)
-                .log("proxy: Connection of a caller failed.");
+        LOGGER.at(cause instanceof IOException ? Level.FINE : Level.WARNING).withCause(cause)
+                .atMostEvery(1, TimeUnit.SECONDS).log("proxy: Connection of a caller failed.");
         if (cause instanceof OutOfMemoryError) {
             forwarder.bodyMemory().onRejected(request == null ? "" : request.id(), 0);
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -1,6 +1,5 @@
 package dev.jayturn.daemon.proxy;
 
-import dev.jayturn.core.configuration.Customer;
 import dev.jayturn.core.configuration.Engine;
 import dev.jayturn.core.configuration.RequestKind;
 import dev.jayturn.core.configuration.Route;
@@ -16,7 +15,6 @@
 import dev.jayturn.core.timer.Cancellable;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
@@ -41,9 +39,6 @@
     /** Short, because the caller's retry goes to another instance, which may have capacity. */
     private static final long LINK_FULL_RETRY_AFTER_MILLIS = 50;
 
-    /** Number of priorities of routes within each priority of customers. */
-    private static final int ROUTE_PRIORITIES = 3;
-
     private final Forwarder forwarder;
     private final CallerConnection caller;
     private final HttpRequest head;
@@ -118,24 +113,16 @@
             refuse(ResultCode.NOT_READY, DEFAULT_RETRY_AFTER_MILLIS);
             return;
         }
-        Route matchedRoute =
-                table.findRoute(head.headers().get(HttpHeaderNames.HOST, ""), head.uri());
-        if (matchedRoute == null) {
-            refuse(ResultCode.NO_ROUTE, 0);
-            return;
-        }
+        RouteMatch match = RouteMatch.find(table, head, request.apiKey());
+        Route matchedRoute = match.route();
         route = matchedRoute;
-        priority = matchedRoute.priority();
-        if (table.configuration().keyRequired() && !matchedRoute.keyless()) {
-            Customer matchedCustomer = table.findCustomer(request.apiKey());
-            if (matchedCustomer == null) {
-                refuse(ResultCode.UNAUTHORIZED, 0);
-                return;
-            }
-            prepaid = matchedCustomer.prepaidTokens().isPresent();
-            customer = matchedCustomer.name();
-            priority = matchedCustomer.priority() * ROUTE_PRIORITIES + matchedRoute.priority();
+        if (matchedRoute == null || match.code() != ResultCode.OK) {
+            refuse(match.code(), 0);
+            return;
         }
+        prepaid = match.prepaid();
+        customer = match.customer();
+        priority = match.priority();
         service = table.findService(ServiceSelector.select(matchedRoute, forwarder.random()));
         if (isQuarantined()) {
             return;
@@ -422,6 +409,11 @@
         }
     }
 
+    /** Returns whether the caller reads as fast as it is sent to. */
+    boolean isCallerWritable() {
+        return caller.isWritable();
+    }
+
     /** Called when the caller's connection becomes writable, or unwritable for a slow caller. */
     void onCallerWritabilityChanged(boolean writable) {
         Attempt currentAttempt = attempt;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -124,7 +124,8 @@
         keepAlive = true;
         skippedResponses = 0;
         skippedBytes = 0;
-        channel.config().setAutoRead(true);
+        // The caller may be slow already, from the response before.
+        channel.config().setAutoRead(responseListener.acceptsBytes());
         channel.writeAndFlush(request)
                 .addListener(
                         done -> {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
@@ -16,6 +16,9 @@
      */
     boolean onConnected();
 
+    /** Returns whether the response may be read now; the listener resumes reading otherwise. */
+    boolean acceptsBytes();
+
     /** Called when no connection could be opened, so that nothing was sent. */
     void onUnreachable();
 
