Refuse requests that cannot end before a planned stop does

Callers: requests that came late in the grace of a planned stop were passed on and cut with no answer at its end, also those that may not run twice.

Cause: nothing compared the time that a request may need with what was left of the grace, and what was open at the end ended with the process.

Change: DrainAdmission (core) admits a request to an upstream if the smaller of its timeout and of its route's usual time fits; else 503 with Retry-After and Connection: close, unsent.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -396,7 +396,8 @@
     /**
      * Starts a drain; call on the event loop. The instance first reports that it is not ready, so
      * that the balancer stops sending callers, then stops accepting connections and waits for open
-     * requests. It leaves the fleet at the end of the grace period even if some are still open.
+     * requests. Shortly before the end of the grace period it answers those that are still open,
+     * and leaves the fleet.
      */
     public void drain() {
         if (forwarder.isDraining()) {
@@ -404,10 +405,11 @@
         }
         log.event(
                 "entry.draining", json -> json.writeNumberField("open", forwarder.openRequests()));
-        forwarder.drain();
-        timers.schedule(BALANCER_NOTICE_MILLIS, this::closeAndAwaitIdle);
         long graceMillis = (long) (settings.decimal(SettingKey.FLEET_GRACE) * MILLIS_PER_SECOND);
-        timers.schedule(graceMillis - GRACE_MARGIN_MILLIS, this::leaveFleet);
+        long leaveMillis = Math.max(0, graceMillis - GRACE_MARGIN_MILLIS);
+        forwarder.drain(timers.nowMillis() + leaveMillis);
+        timers.schedule(BALANCER_NOTICE_MILLIS, this::closeAndAwaitIdle);
+        timers.schedule(leaveMillis, this::leaveFleet);
     }
 
     private void closeAndAwaitIdle() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -12,7 +12,6 @@
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.OriginCallback;
 import dev.jayturn.core.resumption.StreamOrigin;
-import dev.jayturn.core.timer.Cancellable;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
@@ -37,14 +36,14 @@
     private static final int CONFIGURATION_WAIT_DIVISOR = 2;
 
     /** Short, because the caller's retry goes to another instance, which may have capacity. */
-    private static final long LINK_FULL_RETRY_AFTER_MILLIS = 50;
+    private static final long OTHER_INSTANCE_RETRY_AFTER_MILLIS = 50;
 
     private final Forwarder forwarder;
     private final CallerConnection caller;
     private final HttpRequest head;
     private final CallerRequest request;
     private final ByteBuf body;
-    private final long receivedMillis;
+    private final RequestTimes times;
     private final ExchangeLog log;
     private final SendHistory history = new SendHistory();
     private final QuarantineCheck quarantineCheck;
@@ -55,11 +54,9 @@
     private boolean prepaid;
     private @Nullable Service service;
     private @Nullable TokenReservation tokenReservation;
-    private @Nullable Cancellable timeoutTimer;
     private @Nullable Attempt attempt;
     private String customer = "";
     private int priority;
-    private long deadlineMillis;
     private boolean headSent;
     private boolean ended;
 
@@ -75,7 +72,8 @@
         this.head = head;
         this.request = request;
         this.body = body;
-        this.receivedMillis = receivedMillis;
+        this.times =
+                new RequestTimes(forwarder.timers(), forwarder.drainAdmission(), receivedMillis);
         this.log = new ExchangeLog(forwarder.log(), forwarder.metrics(), request.id());
         this.streamRecord = new StreamRecord(forwarder, request);
         this.stream = new StreamProgress(request.lastEventId(), this::recordOrigin);
@@ -88,7 +86,7 @@
         this.permitWait =
                 new PermitWait(
                         forwarder.timers(), forwarder.permitWaitQueue(), this::retryWithPermits);
-        forwarder.onExchangeStarted();
+        forwarder.onExchangeStarted(this);
     }
 
     /** Starts to process the request, or waits for the first configuration if there is none. */
@@ -100,14 +98,14 @@
         long waitMillis =
                 request.partOfTimeoutMillis(
                         CONFIGURATION_WAIT_DIVISOR, MAX_CONFIGURATION_WAIT_MILLIS);
-        timeoutTimer = forwarder.timers().schedule(waitMillis, this::route);
+        times.schedule(waitMillis, this::route);
     }
 
     private void route() {
         if (ended || route != null) {
             return;
         }
-        cancelTimeout();
+        times.cancel();
         RouteTable table = forwarder.routes();
         if (table == null || forwarder.entryInstance() == null) {
             refuse(ResultCode.NOT_READY, DEFAULT_RETRY_AFTER_MILLIS);
@@ -130,19 +128,16 @@
         boolean isStream = request.profile().promptTokens() > 0;
         if (!forwarder.linkLimiter().hasCapacity(isStream)) {
             log.logLinkFull(forwarder.linkLimiter());
-            refuse(ResultCode.LINK_FULL, LINK_FULL_RETRY_AFTER_MILLIS);
+            refuse(ResultCode.LINK_FULL, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
             return;
         }
         long timeoutMillis = request.timeoutMillis(matchedRoute.timeoutMillis());
-        deadlineMillis = receivedMillis + timeoutMillis;
-        if (timeoutMillis <= elapsedMillis()) {
+        if (!times.startTimeout(timeoutMillis, this::onTimeout)) {
             refuse(ResultCode.BODY_TIMEOUT, 0);
             return;
         }
-        timeoutTimer =
-                forwarder.timers().schedule(timeoutMillis - elapsedMillis(), this::onTimeout);
         if (matchedRoute.kind() == RequestKind.STREAM && stream.isResumed()) {
-            streamRecord.find(customer, timeoutMillis - elapsedMillis(), this);
+            streamRecord.find(customer, times.remainingMillis(), this);
         } else {
             reserveTokens();
         }
@@ -155,7 +150,7 @@
         if (ended || table == null || currentRoute == null) {
             return;
         }
-        log.logResumption(request, origin, elapsedMillis());
+        log.logResumption(request, origin, times.elapsedMillis());
         ResultCode code = ServiceSelector.checkResumption(currentRoute, origin);
         if (code != ResultCode.OK) {
             refuse(code, 0);
@@ -169,16 +164,12 @@
     @Override
     public void onNotFound(boolean isCertain) {
         if (!ended) {
-            log.logUnknownStream(request, isCertain, elapsedMillis());
+            log.logUnknownStream(request, isCertain, times.elapsedMillis());
             // The instance that began the stream may not have sent its record yet.
             refuse(ResultCode.STREAM_UNKNOWN, DEFAULT_RETRY_AFTER_MILLIS);
         }
     }
 
-    private long elapsedMillis() {
-        return forwarder.timers().nowMillis() - receivedMillis;
-    }
-
     private void recordOrigin(StreamOrigin origin) {
         Route currentRoute = route;
         if (currentRoute != null) {
@@ -205,11 +196,12 @@
 
     @Override
     public void onReserved() {
-        log.recordTokenWait(elapsedMillis());
+        log.recordTokenWait(times.elapsedMillis());
         Service target = service;
         if (target != null) {
             forwarder.retryBudget(target.name()).recordRequest();
         }
+        times.onDispatched();
         dispatch();
     }
 
@@ -233,20 +225,25 @@
             return;
         }
         long nowMillis = forwarder.timers().nowMillis();
+        if (!stream.hasBegun() && !times.admits(route)) {
+            fail(ResultCode.DRAINING, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
+            return;
+        }
         Dispatcher.Query query =
                 new Dispatcher.Query(
                         target.name(),
                         request.profile(),
                         stream.origin(),
                         history.triedIds(),
-                        deadlineMillis - nowMillis,
+                        times.remainingMillis(),
                         nowMillis);
         Dispatcher.Decision decision =
                 forwarder.dispatcher().decide(query, u -> forwarder.canConnect(target, u));
         UpstreamLoad upstream = decision.upstream();
         if (upstream == null) {
             if (decision.code() != ResultCode.UPSTREAMS_LIMITED
-                    || !permitWait.await(forwarder.isPermitPending(target), deadlineMillis)) {
+                    || !permitWait.await(
+                            forwarder.isPermitPending(target), times.deadlineMillis())) {
                 fail(decision.code(), decision.retryAfterMillis());
             }
             return;
@@ -261,6 +258,16 @@
                 .send(upstreamRequest(upstream), request.id(), next, next::onConnection);
     }
 
+    /** Ends the request before the process does, so that the caller knows what has become of it. */
+    void endForDrain() {
+        if (!ended) {
+            boolean mayHaveExecuted = history.mayHaveExecuted();
+            fail(
+                    mayHaveExecuted ? ResultCode.UPSTREAM_TIMEOUT : ResultCode.DRAINING,
+                    mayHaveExecuted ? 0 : OTHER_INSTANCE_RETRY_AFTER_MILLIS);
+        }
+    }
+
     private void retryWithPermits() {
         if (!ended && attempt == null) {
             dispatch();
@@ -281,7 +288,7 @@
                 new UpstreamRequestMetadata(
                         upstream.heartbeat().id(),
                         customer,
-                        Math.max(1, deadlineMillis - forwarder.timers().nowMillis()),
+                        Math.max(1, times.remainingMillis()),
                         priority,
                         stream.lastEventId());
         return UpstreamRequests.create(forwarder.codec(), head, body, metadata);
@@ -304,7 +311,7 @@
      * response resumes a stream.
      */
     void onResponseHead(HttpResponse response, boolean success) {
-        log.recordFirstByte(elapsedMillis());
+        log.recordFirstByte(times.elapsedMillis());
         if (stream.hasBegun()) {
             return;
         }
@@ -337,6 +344,7 @@
 
     void onResponseComplete() {
         attempt = null;
+        times.onServed(route);
         caller.sendEnd();
         end(ResultCode.OK);
     }
@@ -452,17 +460,9 @@
         }
     }
 
-    private void cancelTimeout() {
-        Cancellable timer = timeoutTimer;
-        timeoutTimer = null;
-        if (timer != null) {
-            timer.cancel();
-        }
-    }
-
     private void end(ResultCode code) {
         ended = true;
-        cancelTimeout();
+        times.cancel();
         Attempt currentAttempt = attempt;
         attempt = null;
         if (currentAttempt != null) {
@@ -480,12 +480,12 @@
                 code,
                 route == null ? "" : route.name(),
                 customer,
-                elapsedMillis(),
+                times.elapsedMillis(),
                 history.sendCount(),
                 eventCount);
         stream.release();
         body.release();
-        forwarder.onExchangeEnded();
+        forwarder.onExchangeEnded(this);
         caller.onExchangeEnded();
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -1,6 +1,9 @@
 package dev.jayturn.daemon.proxy;
 
+import static java.util.stream.Collectors.toSet;
+
 import dev.jayturn.core.configuration.RequestLimits;
+import dev.jayturn.core.configuration.Route;
 import dev.jayturn.core.configuration.RouteTable;
 import dev.jayturn.core.configuration.Service;
 import dev.jayturn.core.directory.Heartbeat;
@@ -8,6 +11,7 @@
 import dev.jayturn.core.dispatch.PeerLoads;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.dispatch.UpstreamRegistry;
+import dev.jayturn.core.drain.DrainAdmission;
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.quarantine.Quarantine;
@@ -22,8 +26,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** State shared by all exchanges of an entry instance; used on its event loop only. */
@@ -54,8 +61,8 @@
     private @Nullable UpstreamRateLimiter rateLimiter;
     private @Nullable StreamOrigins streamOrigins;
     private @Nullable RouteTable routes;
-    private boolean draining;
-    private int openRequests;
+    private final DrainAdmission drainAdmission = new DrainAdmission();
+    private final Set<Exchange> openExchanges = new LinkedHashSet<>();
     private final BodyMemory bodyMemory;
 
     /**
@@ -139,6 +146,8 @@
     /** Sets the routes for new requests, and resumes those that wait for a configuration. */
     public void applyRoutes(RouteTable table) {
         routes = table;
+        drainAdmission.retainRoutes(
+                table.configuration().routes().stream().map(Route::name).collect(toSet()));
         startupQueue.resumeAll();
     }
 
@@ -160,27 +169,44 @@
         tokenWaitQueue.retryAll();
     }
 
-    /** Starts draining: each response from now on closes its connection. */
-    public void drain() {
-        draining = true;
+    /**
+     * Starts draining: each response from now on closes its connection, and requests that cannot
+     * end in time are refused.
+     *
+     * @param leaveMillis time at which the process starts to end
+     */
+    public void drain(long leaveMillis) {
+        drainAdmission.begin(leaveMillis);
+        timers.schedule(drainAdmission.endMillis() - timers.nowMillis(), this::endOpenExchanges);
+    }
+
+    /** Gives the requests that are still open the best answer that there is for them now. */
+    private void endOpenExchanges() {
+        int open = openExchanges.size();
+        log.event("entry.ending", json -> json.writeNumberField("open", open));
+        new ArrayList<>(openExchanges).forEach(Exchange::endForDrain);
     }
 
     /** Returns whether this instance is draining. */
     public boolean isDraining() {
-        return draining;
+        return drainAdmission.isDraining();
+    }
+
+    DrainAdmission drainAdmission() {
+        return drainAdmission;
     }
 
     /** Returns the number of requests in progress. */
     public int openRequests() {
-        return openRequests;
+        return openExchanges.size();
     }
 
-    void onExchangeStarted() {
-        openRequests++;
+    void onExchangeStarted(Exchange exchange) {
+        openExchanges.add(exchange);
     }
 
-    void onExchangeEnded() {
-        openRequests--;
+    void onExchangeEnded(Exchange exchange) {
+        openExchanges.remove(exchange);
     }
 
     /** Returns the number of bytes of callers' bodies that are held, whole or in part. */
