Go on with a stream only with a response that continues it

Callers: after a stream broke off they found the bytes of an error, events that they had already, or an end as if complete, if the next upstream answered 200 with nothing, 204, JSON, text, or from the beginning; also if an upstream wrote an error where a chunk with an event is due.

Cause: what a continuation has to be was asked in three places and in part; anything up to a blank line was an event.

Change: StreamContinuation (core) decides by status, type, the id of the first event and the end; the scanner accepts only lines of events. Anything else is a failed attempt like a reset.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -4,11 +4,14 @@
 import dev.jayturn.core.dispatch.RequestProfile;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.core.resumption.StreamContinuation;
 import dev.jayturn.core.resumption.StreamOrigin;
 import dev.jayturn.core.timer.TimerService;
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -33,6 +36,8 @@
     private boolean ended;
     private boolean successStatus;
     private boolean retryAllowed = true;
+    private boolean chunked;
+    private boolean isContinuation;
     private long eventsAtStart;
     private long sentMillis;
     private long runStartMillis;
@@ -197,10 +202,12 @@
         }
         responseStarted = true;
         runStartMillis = timers.nowMillis();
+        chunked = HttpUtil.isTransferEncodingChunked(response);
         eventsAtStart = exchange.stream().eventCount();
         upstream.firstEventReceived(uncachedTokens, elapsedMillis(), noOtherPromptWaiting);
         forwarder.onLoadChange();
         exchange.onResponseHead(response, successStatus);
+        isContinuation = exchange.stream().hasBegun() && exchange.stream().isContinuation();
     }
 
     /** Ends the attempt at the head of a response that is not forwarded. */
@@ -222,13 +229,22 @@
         if (codec.isNotExecuted(response)) {
             return Failure.DECLINED;
         }
-        if (!codec.isSigned(response) || (exchange.stream().hasBegun() && !successStatus)) {
+        if (!codec.isSigned(response) || !isOfStream(response)) {
             return Failure.BROKEN;
         }
         // REPLACED means that the retry is acquired: Exchange.onFailure does not acquire it again.
         return !successStatus && exchange.tryAcquireRetry() ? Failure.REPLACED : null;
     }
 
+    /** Returns whether the response can go on with the stream, if the caller has a part of it. */
+    private boolean isOfStream(HttpResponse response) {
+        if (!exchange.goesOnWithStream() || (!successStatus && !exchange.stream().hasBegun())) {
+            return true;
+        }
+        String contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        return StreamContinuation.acceptsHead(response.status().code(), contentType);
+    }
+
     @Override
     public void onResponseBody(ByteBuf bytes) {
         if (!ended && !exchange.onResponseBody(this, bytes)) {
@@ -247,6 +263,10 @@
             reportFailure(Failure.BROKEN);
             return;
         }
+        if (isContinuation && !StreamContinuation.acceptsEnd(receivedEvents(), chunked)) {
+            reportFailure(Failure.BROKEN);
+            return;
+        }
         if (successStatus) {
             upstream.requestSucceeded(elapsedMillis());
             exchange.quarantineCheck().onCompleted();
@@ -270,12 +290,17 @@
         UpstreamConnection currentConnection = connection;
         return currentConnection != null
                 && currentConnection.isCloseDelimited()
-                && exchange.stream().isWithoutEvents();
+                && exchange.stream().hasBegun()
+                && receivedEvents() == 0;
+    }
+
+    /** Returns the number of events of this attempt. */
+    private long receivedEvents() {
+        return exchange.stream().eventCount() - eventsAtStart;
     }
 
     private void recordCutOff() {
-        boolean beforeAnEvent =
-                responseStarted && successStatus && exchange.stream().eventCount() == eventsAtStart;
+        boolean beforeAnEvent = responseStarted && successStatus && receivedEvents() == 0;
         retryAllowed =
                 exchange.quarantineCheck()
                         .onCutOff(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -224,7 +224,6 @@
         if (isQuarantined()) {
             return;
         }
-        long nowMillis = forwarder.timers().nowMillis();
         if (!stream.hasBegun() && !times.admits(route)) {
             fail(ResultCode.DRAINING, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
             return;
@@ -236,7 +235,7 @@
                         stream.origin(),
                         history.triedIds(),
                         times.remainingMillis(),
-                        nowMillis);
+                        forwarder.timers().nowMillis());
         Dispatcher.Decision decision =
                 forwarder.dispatcher().decide(query, u -> forwarder.canConnect(target, u));
         UpstreamLoad upstream = decision.upstream();
@@ -260,11 +259,13 @@
 
     /** Ends the request before the process does, so that the caller knows what has become of it. */
     void endForDrain() {
-        if (!ended) {
-            boolean mayHaveExecuted = history.mayHaveExecuted();
-            fail(
-                    mayHaveExecuted ? ResultCode.UPSTREAM_TIMEOUT : ResultCode.DRAINING,
-                    mayHaveExecuted ? 0 : OTHER_INSTANCE_RETRY_AFTER_MILLIS);
+        if (ended) {
+            return;
+        }
+        if (history.mayHaveExecuted()) {
+            fail(ResultCode.UPSTREAM_TIMEOUT, 0);
+        } else {
+            fail(ResultCode.DRAINING, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
         }
     }
 
@@ -302,6 +303,11 @@
         return quarantineCheck;
     }
 
+    /** Returns whether the caller has a part of the response, a stream. */
+    boolean goesOnWithStream() {
+        return stream.hasBegun() || (stream.isResumed() && stream.origin() != null);
+    }
+
     StreamProgress stream() {
         return stream;
     }
@@ -313,6 +319,7 @@
     void onResponseHead(HttpResponse response, boolean success) {
         log.recordFirstByte(times.elapsedMillis());
         if (stream.hasBegun()) {
+            stream.startContinuation();
             return;
         }
         Route currentRoute = route;
@@ -326,7 +333,8 @@
     /**
      * Called with bytes of the response body, which the caller of this method releases.
      *
-     * @return false if the body cannot be forwarded, because it has an event of excessive length
+     * @return false if the rest cannot be forwarded, because it is not of the stream or has an
+     *     event of excessive length
      */
     boolean onResponseBody(Attempt source, ByteBuf bytes) {
         if (!stream.hasBegun()) {
@@ -339,7 +347,7 @@
         } else {
             completeEvents.release();
         }
-        return !stream.isEventTooLong();
+        return !stream.isMalformed();
     }
 
     void onResponseComplete() {
@@ -382,6 +390,7 @@
                 boolean retryable =
                         failed.wasSent()
                                 && (!headSent || stream.hasBegun())
+                                && stream.canBeContinued()
                                 && failed.isRetryAllowed();
                 retryOrFail(failure, retryable && tryAcquireRetry());
                 break;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/StreamProgress.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/StreamProgress.java
@@ -46,9 +46,22 @@
         return scanner != null;
     }
 
-    /** Returns whether a new stream, not a resumed one, has had no event so far. */
-    boolean isWithoutEvents() {
-        return scanner != null && eventCount() == 0 && !isResumed();
+    /** Returns whether the next response has to go on with a stream of which there are events. */
+    boolean isContinuation() {
+        return isResumed() || eventCount() > 0;
+    }
+
+    /** Returns whether another upstream can be told where to go on. */
+    boolean canBeContinued() {
+        return eventCount() == 0 || !lastEventId().isEmpty();
+    }
+
+    /** Called when another response begins that goes on with the stream. */
+    void startContinuation() {
+        ServerSentEventScanner current = scanner;
+        if (current != null) {
+            current.startContinuation();
+        }
     }
 
     /** Returns whether the stream so far ends with an incomplete event. */
@@ -65,10 +78,10 @@
         }
     }
 
-    /** Returns whether the incomplete event exceeds the maximum size. */
-    boolean isEventTooLong() {
+    /** Returns whether the bytes behind the complete events are none of an event, or too many. */
+    boolean isMalformed() {
         ServerSentEventScanner current = scanner;
-        return current != null && current.isEventTooLong();
+        return current != null && (current.isMalformed() || current.isEventTooLong());
     }
 
     /** Returns the number of complete events. */
