Count an update as current only if it answers a recent report

Callers: after a cut an entry instance could continue streams at upstreams of another version, as an update from before the cut, delivered at its end, made its directory current (ORDER).

Cause: an update counted by its arrival.

Change: updates name the report that they answer, by the clock of the entry instance, and count only if that was sent less than 1 s ago.

--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/DirectoryFreshness.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/DirectoryFreshness.java
@@ -60,15 +60,20 @@
      * @param isComplete whether no earlier update of that control instance is missing
      * @param controlCount number of control instances, of which more than half have to be in touch
      *     if none of them leads
+     * @param answeredMillis when the report was sent that the update answers; 0 if that is not
+     *     known
      */
     public void onUpdate(
             String control,
             boolean isLeader,
             boolean isComplete,
             int controlCount,
+            long answeredMillis,
             long nowMillis) {
         check(nowMillis);
-        if (!isComplete || nowMillis < backlogEndMillis) {
+        // The network may deliver after a cut what was sent before or during it.
+        boolean heldUp = answeredMillis != 0 && nowMillis - answeredMillis > MAX_AGE_MILLIS;
+        if (!isComplete || heldUp || nowMillis < backlogEndMillis) {
             return;
         }
         updatesByControl.put(control, nowMillis);
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -428,7 +428,8 @@
                 upstreams.revision(),
                 upstreams.changedSince(since),
                 state.slices().lease(entry.holder) != null,
-                grants);
+                grants,
+                entry.lastReportSentMillis);
     }
 
     /**
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -355,6 +355,7 @@
                 update.from().equals(update.leader()),
                 isComplete,
                 controls.size(),
+                update.answeredMillis(),
                 now);
         if (isComplete) {
             // Otherwise an earlier update was lost, and the next report asks for its changes again.
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
@@ -46,6 +46,9 @@
     /** Wall clock of this control instance when the entry instance made its last promise. */
     long promisedWallMillis;
 
+    /** When the entry instance sent the last report, on its clock; 0 if it does not say so. */
+    long lastReportSentMillis;
+
     boolean leaving;
     int knownPeersHash;
     int sentPeersHash;
@@ -102,6 +105,7 @@
         holder = report.holder();
         dataCentre = report.dataCentre();
         lastReportMillis = nowMillis;
+        lastReportSentMillis = report.sentAtMillis();
         configurationVersion = report.configurationVersion();
         leaving = report.leaving();
         if (!report.promised().bootId().isEmpty()) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
@@ -28,6 +28,8 @@
  * @param leaseKept whether a lease of the holder is in the log; until then the holder draws no more
  *     than its marks, even after its promise ends
  * @param grants slices; sent by the leader only
+ * @param answeredMillis when the entry instance sent the last report that the sender had got, on
+ *     the monotonic clock of the entry instance, in milliseconds; 0 if that is not known
  */
 public record FleetUpdate(
         String from,
@@ -44,5 +46,6 @@
         long tableRevision,
         List<Heartbeat> upstreams,
         boolean leaseKept,
-        List<SliceGrant> grants)
+        List<SliceGrant> grants,
+        long answeredMillis)
         implements Message {}
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/EntryInstanceLeaseTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/EntryInstanceLeaseTest.java
@@ -72,7 +72,8 @@
                         0,
                         List.of(),
                         leaseKept,
-                        List.of()));
+                        List.of(),
+                        0));
     }
 
     private boolean isLimitedToMarks() {
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenReservationTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenReservationTest.java
@@ -77,7 +77,8 @@
                         0,
                         List.of(),
                         true,
-                        List.of(new SliceGrant("roy", issued, mark, budgetRemaining, 0))));
+                        List.of(new SliceGrant("roy", issued, mark, budgetRemaining, 0)),
+                        0));
     }
 
     private TokenReservation reserve(long tokens) {
