Join the parts of a response body that arrive together

Callers: one endless response in chunks of one byte, to a caller that reads it, held up all others at that instance: the slowest of ten short calls took 1,527 ms (objective 500 ms).

Cause: each chunk was written with a flush, a system call, of its own. Evidence: EndlessResponseTest.endlessChunksOfOneByteDoNotHoldUpOtherCallers failed before (1 of 1) and passes now.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -166,7 +166,7 @@
 
     @Override
     public boolean acceptsBytes() {
-        return exchange.isCallerWritable();
+        return exchange.caller().isWritable();
     }
 
     @Override
@@ -252,6 +252,13 @@
         }
     }
 
+    @Override
+    public void onReadComplete() {
+        if (!ended) {
+            exchange.caller().flushBody();
+        }
+    }
+
     @Override
     public void onResponseComplete() {
         if (ended) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -59,6 +58,7 @@
 
     private final Forwarder forwarder;
     private final ProxyServer server;
+    private final BodyParts unsentBody = new BodyParts();
     private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
@@ -404,12 +404,22 @@
         }
     }
 
-    /** Sends bytes of a response body; takes ownership of the buffer. */
+    /**
+     * Sends bytes of a response body with the next {@link #flushBody}; takes ownership of the
+     * buffer.
+     */
     void sendBody(ByteBuf bytes) {
-        context().writeAndFlush(new DefaultHttpContent(bytes));
+        unsentBody.add(context(), bytes);
+    }
+
+    /** Sends the parts of the body so far. */
+    void flushBody() {
+        unsentBody.write(context());
+        context().flush();
     }
 
     void sendEnd() {
+        unsentBody.write(context());
         context().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
@@ -417,6 +427,7 @@
     void abortResponse() {
         closing = true;
         closingMillis = forwarder.timers().nowMillis();
+        flushBody();
         context().close();
     }
 
@@ -466,6 +477,7 @@
         closing = true;
         releaseBody();
         discardPipelined();
+        unsentBody.release();
         Exchange current = exchange;
         if (current != null) {
             current.onCallerDisconnected();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -308,6 +308,10 @@
         return stream.hasBegun() || (stream.isResumed() && stream.origin() != null);
     }
 
+    CallerConnection caller() {
+        return caller;
+    }
+
     StreamProgress stream() {
         return stream;
     }
@@ -361,6 +365,7 @@
     void onFailure(Attempt failed, Attempt.Failure failure) {
         attempt = null;
         history.onFailed(failed.upstream());
+        caller.flushBody();
         log.logFailedAttempt(
                 failed,
                 failure,
@@ -426,11 +431,6 @@
         }
     }
 
-    /** Returns whether the caller reads as fast as it is sent to. */
-    boolean isCallerWritable() {
-        return caller.isWritable();
-    }
-
     /** Called when the caller's connection becomes writable, or unwritable for a slow caller. */
     void onCallerWritabilityChanged(boolean writable) {
         Attempt currentAttempt = attempt;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -168,6 +168,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        UpstreamListener responseListener = listener;
+        if (responseListener != null && headReceived) {
+            responseListener.onReadComplete();
+        }
+    }
+
     private void read(HttpObject message) {
         if (listener == null && !discardingResponse) {
             channel.close();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
@@ -34,6 +34,9 @@
     /** Called with bytes of the response body, which the caller of this method releases. */
     void onResponseBody(ByteBuf bytes);
 
+    /** Called when all bytes that had arrived have been passed on. */
+    void onReadComplete();
+
     /** Called when the complete response has been received. */
     void onResponseComplete();
 
