--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServerSentEventScanner.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServerSentEventScanner.java
@@ -50,6 +50,9 @@
 
     private boolean malformed;
 
+    /** Whether there was an event before the first one with an id. */
+    private boolean startsWithoutId;
+
     ServerSentEventScanner(ByteBufAllocator allocator, String lastId) {
         this.buffer = allocator.heapBuffer();
         this.lastId = lastId;
@@ -115,6 +118,7 @@
         if (!pendingId.isEmpty()) {
             lastId = pendingId;
         }
+        startsWithoutId |= !onlyComments && lastId.isEmpty();
         startEvent();
     }
 
@@ -163,13 +167,15 @@
         return buffer.toString(start, end - start, StandardCharsets.US_ASCII);
     }
 
-    /**
-     * Called when another response begins that has to go on after the last event. Returns nothing
-     * of the incomplete event of the response before.
-     */
+    /** Called when another response begins that has to go on after the last event. */
     void startContinuation() {
         discardPartialEvent();
-        continuing = eventCount > 0 || !lastId.isEmpty();
+        continuing = !lastId.isEmpty();
+    }
+
+    /** Returns whether another upstream can be told where to go on. */
+    boolean canBeContinued() {
+        return !startsWithoutId;
     }
 
     /** Returns whether the bytes behind the complete events are not those of an event. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/StreamProgress.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/StreamProgress.java
@@ -53,7 +53,8 @@
 
     /** Returns whether another upstream can be told where to go on. */
     boolean canBeContinued() {
-        return eventCount() == 0 || !lastEventId().isEmpty();
+        ServerSentEventScanner current = scanner;
+        return current == null || current.canBeContinued();
     }
 
     /** Called when another response begins that goes on with the stream. */
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/ServerSentEventScannerTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/ServerSentEventScannerTest.java
@@ -72,4 +72,24 @@
         assertThat(scan("id: 7\r\ndata: x\r\n\r\n")).isEqualTo("id: 7\r\ndata: x\r\n\r\n");
         assertThat(scanner.lastId()).isEqualTo("7");
     }
+
+    @Test
+    void eventsWithoutIdsCannotBeContinuedButCommentsCan() {
+        ServerSentEventScanner fresh =
+                new ServerSentEventScanner(UnpooledByteBufAllocator.DEFAULT, "");
+        fresh.scan(Unpooled.copiedBuffer(": alive\n\n", StandardCharsets.UTF_8));
+        assertThat(fresh.canBeContinued()).isTrue();
+        fresh.scan(Unpooled.copiedBuffer("data: a\n\n", StandardCharsets.UTF_8));
+        assertThat(fresh.canBeContinued()).isFalse();
+    }
+
+    @Test
+    void eventsBeforeAMalformedLineAreReturnedAndNothingBehindThem() {
+        assertThat(scan("id: 1\ndata: a\n\nHTTP/1.1 500 Error\r\nX: y\r\n\r\nid: 2\n\n"))
+                .isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(scanner.isMalformed()).isTrue();
+        scanner.startContinuation();
+        assertThat(scan("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+        assertThat(scanner.isMalformed()).isFalse();
+    }
 }
