Say why a read or a change was not confirmed, and what each control instance holds

The logs could not tell an instance without a leader from a leader without a majority, nor a disk that stands still at an instance that does not lead.

--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftLog.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftLog.java
@@ -13,6 +13,7 @@
     private List<JournalRecord> snapshotItems = new ArrayList<>();
     private long recordedCommitIndex;
     private TermVote termVote = new TermVote(0, "");
+    private long durableIndex;
 
     RaftLog(Journal journal) {
         this.journal = journal;
@@ -33,6 +34,7 @@
         } else if (journalRecord instanceof CommitNoted committed) {
             recordedCommitIndex = committed.index();
         }
+        durableIndex = lastIndex();
     }
 
     boolean isEmpty() {
@@ -51,7 +53,8 @@
     /** Appends an entry; entries at its index and after it are removed. */
     void append(LogEntry entry, Runnable onDurable) {
         truncateAndAdd(entry);
-        journal.append(entry, onDurable);
+        durableIndex = Math.min(durableIndex, entry.index() - 1);
+        journal.append(entry, () -> onDurable(entry.index(), onDurable));
     }
 
     private void truncateAndAdd(LogEntry entry) {
@@ -69,7 +72,16 @@
 
     void recordCommit(long index, Runnable onDurable) {
         recordedCommitIndex = index;
-        journal.append(new CommitNoted(index), onDurable);
+        journal.append(new CommitNoted(index), () -> onDurable(index, onDurable));
+    }
+
+    private void onDurable(long index, Runnable callback) {
+        durableIndex = Math.max(durableIndex, index);
+        callback.run();
+    }
+
+    MemberStatus status(long commitIndex, long leaderSilentMillis, int votes) {
+        return new MemberStatus(lastIndex(), durableIndex, commitIndex, leaderSilentMillis, votes);
     }
 
     void whenDurable(Runnable onDurable) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -128,6 +128,12 @@
         return leadership == null ? null : leadership.quorumStatus();
     }
 
+    /** Returns the state of this member's log and of its election. */
+    public MemberStatus status() {
+        long silentMillis = timers.nowMillis() - lastLeaderContactMillis;
+        return log.status(commitIndex, silentMillis, votes.size());
+    }
+
     /** Appends a command to the log if this member is the leader; otherwise fails it at once. */
     public void propose(Command command, ProposalCallback callback) {
         Leadership leading = leadership;
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
@@ -32,6 +32,7 @@
         final PutConfiguration put;
         final ConfigurationCallback callback;
         String sentTo = "";
+        String reason = "no-leader";
 
         PendingCall(long deadlineMillis, PutConfiguration put, ConfigurationCallback callback) {
             this.deadlineMillis = deadlineMillis;
@@ -79,12 +80,14 @@
         }
         if (timers.nowMillis() >= call.deadlineMillis) {
             pending.remove(id);
+            listener.onCallUnconfirmed(id, call.put.version(), call.reason, raft.leader());
             call.callback.onUnconfirmed();
             return;
         }
         String leader = raft.leader();
         if (!leader.isEmpty() && !leader.equals(call.sentTo)) {
             call.sentTo = leader;
+            call.reason = "unanswered";
             listener.onCallForwarded(id, call.put.version(), leader);
             PutConfiguration put = call.put;
             byte[] document = put.version() == 0 ? null : put.document();
@@ -149,6 +152,7 @@
         if (!answer.sure()) {
             // Allows the next attempt to resend, to this leader or to another one.
             call.sentTo = "";
+            call.reason = "unsure";
             return;
         }
         pending.remove(answer.id());
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationListener.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationListener.java
@@ -15,6 +15,11 @@
                     // Nobody asked for it.
                 }
 
+                @Override
+                public void onCallUnconfirmed(long id, long version, String reason, String leader) {
+                    // Nobody asked for it.
+                }
+
                 @Override
                 public void onEntryBehind(String entry, long version, long newest, long millis) {
                     // Nobody asked for it.
@@ -38,6 +43,16 @@
     /** Called when a call that is still open has been answered. */
     void onCallAnswered(ConfigurationAnswer answer);
 
+    /**
+     * Called when no quorum has confirmed a call in time.
+     *
+     * @param version version to put in force; 0 for a read
+     * @param reason {@code no-leader} if none was known, {@code unsure} if the leader lost
+     *     leadership or could not confirm it, {@code unanswered} if the leader sent no answer
+     * @param leader member id of the leader that is known now; empty if unknown
+     */
+    void onCallUnconfirmed(long id, long version, String reason, String leader);
+
     /**
      * Called once an entry instance has reported an older version for some time.
      *
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/ConfigurationLagTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/ConfigurationLagTest.java
@@ -48,6 +48,11 @@
         throw new AssertionError("no calls are made");
     }
 
+    @Override
+    public void onCallUnconfirmed(long id, long version, String reason, String leader) {
+        throw new AssertionError("no calls are made");
+    }
+
     @Override
     public void onEntryBehind(String entry, long version, long newest, long millis) {
         reports.add("behind " + entry + ' ' + version + ' ' + newest + ' ' + millis);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -169,16 +169,19 @@
         HttpApiServer.forDocuments(loop, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
         serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
-        logStart(self, storeId);
+        logStart(self, storeId, raft);
     }
 
-    private void logStart(String self, String storeId) {
+    private void logStart(String self, String storeId, RaftNode raft) {
         log.event(
                 "control.started",
                 json -> {
                     json.writeStringField("instance", self);
                     json.writeStringField("store", storeId);
                     json.writeNumberField("version", fleetState.configuration().version());
+                    json.writeNumberField("term", raft.term());
+                    json.writeNumberField("lastIndex", raft.status().lastIndex());
+                    json.writeNumberField("voters", voterCount(raft));
                 });
     }
 
@@ -188,6 +191,14 @@
         metrics.registerGauge("jayturn.journal.pending.millis", journal::pendingMillis);
         metrics.registerGauge("jayturn.journal.last.durable.millis", journal::lastDurableMillis);
         metrics.registerGauge("jayturn.control.leads", () -> raft.isLeader() ? 1 : 0);
+        metrics.registerGauge("jayturn.control.term", raft::term);
+        metrics.registerGauge("jayturn.control.log.last", () -> raft.status().lastIndex());
+        metrics.registerGauge("jayturn.control.log.durable", () -> raft.status().durableIndex());
+        metrics.registerGauge("jayturn.control.log.committed", () -> raft.status().commitIndex());
+        metrics.registerGauge(
+                "jayturn.control.leader.silent.millis",
+                () -> raft.isLeader() ? 0 : raft.status().leaderSilentMillis());
+        metrics.registerGauge("jayturn.control.votes", () -> raft.status().votes());
         metrics.registerGauge("jayturn.control.members", () -> raft.members().size());
         metrics.registerGauge("jayturn.control.voters", () -> voterCount(raft));
         metrics.registerGauge(
