--- a/jayturn-core/src/main/java/dev/jayturn/core/virtual/VirtualDisk.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/virtual/VirtualDisk.java
@@ -4,6 +4,7 @@
 import dev.jayturn.core.journal.JournalRecord;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /**
  * A simulated disk. Records become durable when their sync completes; a crash of the process loses
@@ -16,6 +17,8 @@
     private List<JournalRecord> durable = new ArrayList<>();
     private final List<Runnable> failedSyncs = new ArrayList<>();
     private boolean syncsFail;
+    private LongSupplier syncMillis = () -> SYNC_MILLIS;
+    private long lastCompletionMillis;
 
     public VirtualDisk(VirtualTime time) {
         this.time = time;
@@ -26,6 +29,11 @@
         return new ArrayList<>(durable);
     }
 
+    /** Sets how long each later sync takes, in milliseconds. */
+    public void setSyncMillis(LongSupplier millis) {
+        syncMillis = millis;
+    }
+
     /** Makes all later syncs fail, and those in flight, until they are resumed. */
     public void failSyncs() {
         syncsFail = true;
@@ -71,7 +79,10 @@
         }
 
         private void afterSync(Runnable change, Runnable onDurable) {
-            time.schedule(SYNC_MILLIS, () -> complete(change, onDurable));
+            // Syncs of different lengths complete in order.
+            long now = time.nowMillis();
+            lastCompletionMillis = Math.max(lastCompletionMillis, now + syncMillis.getAsLong());
+            time.schedule(lastCompletionMillis - now, () -> complete(change, onDurable));
         }
 
         private void complete(Runnable change, Runnable onDurable) {
