--- /dev/null
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/LostLogFleetTest.java
@@ -0,0 +1,81 @@
+package dev.jayturn.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.core.fleet.VirtualFleet.VirtualControl;
+import dev.jayturn.core.virtual.VirtualDisk;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** A control instance starts with an empty log under the identity that it had before. */
+final class LostLogFleetTest {
+    private static final int SEEDS = 20;
+    private static final int CHANGES = 5;
+    private static final long SETTLE_MILLIS = 3_000;
+
+    private VirtualFleet fleet;
+    private long sentVersion;
+    private long confirmedVersion;
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, SEEDS);
+    }
+
+    /** Sends a change through an instance and returns whether it is confirmed within 3 s. */
+    private boolean change(VirtualControl control) {
+        long version = ++sentVersion;
+        control.instance.put(
+                new PutConfiguration(version, new byte[] {(byte) version}, Map.of()),
+                new ConfigurationCallback() {
+                    @Override
+                    public void onConfirmed(ConfigurationDocument document) {
+                        confirmedVersion = Math.max(confirmedVersion, document.version());
+                    }
+
+                    @Override
+                    public void onUnconfirmed() {
+                        // The version stays unconfirmed.
+                    }
+                });
+        fleet.time.runFor(SETTLE_MILLIS);
+        return confirmedVersion == version;
+    }
+
+    private VirtualControl leader() {
+        return fleet.controls.values().stream()
+                .filter(control -> control.process.isRunning() && control.raft.isLeader())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private List<VirtualControl> followers() {
+        List<VirtualControl> followers = new ArrayList<>(fleet.controls.values());
+        followers.remove(leader());
+        return followers;
+    }
+
+    /** Guards against a leader that never sends a member again what it has acknowledged. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void changesAreConfirmedAfterAMemberLostItsLogAndAnotherOneEnds(long seed) {
+        fleet = new VirtualFleet(seed, 3, 0);
+        fleet.time.runFor(SETTLE_MILLIS);
+        for (int i = 0; i < CHANGES; i++) {
+            assertThat(change(leader())).isTrue();
+        }
+        VirtualControl emptied = followers().get(0);
+        VirtualControl other = followers().get(1);
+        emptied.process.crash();
+        emptied.disk = new VirtualDisk(fleet.time);
+        emptied.restart();
+        fleet.time.runFor(SETTLE_MILLIS);
+        other.process.crash();
+        assertThat(change(leader())).as("change after the loss of another instance").isTrue();
+    }
+}
