--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftLog.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftLog.java
@@ -170,7 +170,8 @@
         compact(start, items);
     }
 
-    private void rewriteJournal() {
+    /** Replaces the content of the journal by the state in memory. */
+    void rewriteJournal() {
         List<JournalRecord> records = new ArrayList<>();
         records.add(termVote);
         records.add(snapshotStart);
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -176,6 +176,11 @@
         }
     }
 
+    /** Writes the whole state to the journal again, whose records have been lost. */
+    public void rewriteJournal() {
+        log.rewriteJournal();
+    }
+
     /** Handles a message; ignores messages to another member id and messages of other types. */
     public void handle(Message message) {
         if (message instanceof VoteRequest request && request.to().equals(config.id())) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -70,6 +70,7 @@
     private final FleetMetrics metrics = new FleetMetrics();
     private final FleetState fleetState = new FleetState();
     private @Nullable ControlInstance controlInstance;
+    private @Nullable RaftNode member;
 
     /** Receives the outcome of putting a configuration in force. */
     public interface PutCallback {
@@ -134,7 +135,9 @@
                 founders.add(seed + '#' + FOUNDER_STORE_ID);
             }
         }
-        FileJournal journal = new FileJournal(folder.resolve(LOG_FILE), loop, new JournalLog(log));
+        FileJournal journal =
+                new FileJournal(
+                        folder.resolve(LOG_FILE), loop, new JournalLog(log, this::rewriteJournal));
         RaftConfig config =
                 new RaftConfig(
                         self + '#' + storeId,
@@ -152,6 +155,7 @@
                         timers,
                         random,
                         fleetState);
+        member = raft;
         controlInstance =
                 new ControlInstance(
                         self,
@@ -172,6 +176,13 @@
         logStart(self, storeId, raft);
     }
 
+    private void rewriteJournal() {
+        RaftNode started = member;
+        if (started != null) {
+            started.rewriteJournal();
+        }
+    }
+
     private void logStart(String self, String storeId, RaftNode raft) {
         log.event(
                 "control.started",
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/JournalLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/JournalLog.java
@@ -4,12 +4,25 @@
 import dev.jayturn.daemon.journal.JournalListener;
 import java.io.IOException;
 
-/** Logs when a journal fails and when it works again. */
+/** Logs when a journal fails and when it works again, and has it written again if it is lost. */
 final class JournalLog implements JournalListener {
     private final EventLog log;
+    private final Runnable rewrite;
 
-    JournalLog(EventLog log) {
+    /**
+     * Creates a listener.
+     *
+     * @param rewrite writes the whole state to the journal
+     */
+    JournalLog(EventLog log, Runnable rewrite) {
         this.log = log;
+        this.rewrite = rewrite;
+    }
+
+    @Override
+    public void onLost() {
+        log.event("journal.lost", json -> {});
+        rewrite.run();
     }
 
     @Override
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/FileJournal.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -25,7 +26,8 @@
  * A journal in one file with group commit: a writer thread writes all queued operations, syncs once
  * and then runs their callbacks on the owner's executor. Operations stay in memory until they are
  * durable. After a failed write or sync the writer opens the file again, cuts it to what is known
- * to be durable, and writes everything after that once more.
+ * to be durable, and writes everything after that once more. It never creates the file anew: if the
+ * file is gone, the owner writes the whole state again.
  */
 public final class FileJournal implements Journal, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -55,6 +57,9 @@
 
     private long durableBytes;
 
+    /** Whether the file no longer holds what is durable. Used by the writer only. */
+    private boolean lost;
+
     /** Failed attempts since the last one that succeeded. Used by the writer only. */
     private int failures;
 
@@ -269,6 +274,9 @@
         if (size > 0) {
             appended.append(bytes);
             appended.sync();
+            if (Files.notExists(file)) {
+                throw new NoSuchFileException(file.toString());
+            }
             durableBytes += size;
             syncCount.incrementAndGet();
             markSynced(appended);
@@ -297,6 +305,7 @@
             // The sync on opening may have failed, and the next one would not report it again.
             replaceFile(ByteBuffer.wrap(content));
         }
+        checkNotLost();
         JournalFile opened = opener.open(file, durableBytes);
         openFile = opened;
         opened.sync();
@@ -307,8 +316,24 @@
         return opened;
     }
 
+    /** Lets the owner write everything again if the file no longer holds what is durable. */
+    private void checkNotLost() throws IOException {
+        if (durableBytes == 0 || (!Files.notExists(file) && Files.size(file) >= durableBytes)) {
+            return;
+        }
+        if (!lost) {
+            lost = true;
+            callbackExecutor.execute(listener::onLost);
+        }
+        throw new IOException(file + " no longer holds what was durable");
+    }
+
     private void replaceFile(ByteBuffer content) throws IOException {
         int size = content.remaining();
+        Path folder = file.toAbsolutePath().getParent();
+        if (folder != null) {
+            Files.createDirectories(folder);
+        }
         try (JournalFile out = opener.open(temporaryFile(), 0)) {
             out.append(content);
             out.append(JournalFormat.encodeMark(size));
@@ -319,6 +344,7 @@
         syncParentFolder(file);
         durableBytes = size;
         unsyncedContent = null;
+        lost = false;
         syncCount.incrementAndGet();
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/JournalListener.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/journal/JournalListener.java
@@ -15,6 +15,14 @@
      */
     default void onRecovered(long failedMillis, int failedAttempts) {}
 
+    /**
+     * Called when the file no longer holds what was durable, as it was removed or cut. Writes fail
+     * until the owner rewrites the journal. Ends the process, which starts again as a new member.
+     */
+    default void onLost() {
+        FatalErrors.endProcess("the file of a journal has been removed or cut", null);
+    }
+
     /** Called when memory holds too much that is not durable. Ends the process. */
     default void onOverflow(long pendingBytes) {
         FatalErrors.endProcess(pendingBytes + " bytes wait for the journal", null);
