--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -70,6 +70,7 @@
     private final FleetMetrics metrics = new FleetMetrics();
     private final FleetState fleetState = new FleetState();
     private @Nullable ControlInstance controlInstance;
+    private @Nullable RaftNode member;
 
     /** Receives the outcome of putting a configuration in force. */
     public interface PutCallback {
@@ -134,7 +135,9 @@
                 founders.add(seed + '#' + FOUNDER_STORE_ID);
             }
         }
-        FileJournal journal = new FileJournal(folder.resolve(LOG_FILE), loop, new JournalLog(log));
+        FileJournal journal =
+                new FileJournal(
+                        folder.resolve(LOG_FILE), loop, new JournalLog(log, this::rewriteJournal));
         RaftConfig config =
                 new RaftConfig(
                         self + '#' + storeId,
@@ -152,6 +155,7 @@
                         timers,
                         random,
                         fleetState);
+        member = raft;
         controlInstance =
                 new ControlInstance(
                         self,
@@ -169,16 +173,26 @@
         HttpApiServer.forDocuments(loop, apiHandler)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
         serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
-        logStart(self, storeId);
+        logStart(self, storeId, raft);
     }
 
-    private void logStart(String self, String storeId) {
+    private void rewriteJournal() {
+        RaftNode started = member;
+        if (started != null) {
+            started.rewriteJournal();
+        }
+    }
+
+    private void logStart(String self, String storeId, RaftNode raft) {
         log.event(
                 "control.started",
                 json -> {
                     json.writeStringField("instance", self);
                     json.writeStringField("store", storeId);
                     json.writeNumberField("version", fleetState.configuration().version());
+                    json.writeNumberField("term", raft.term());
+                    json.writeNumberField("lastIndex", raft.status().lastIndex());
+                    json.writeNumberField("voters", voterCount(raft));
                 });
     }
 
@@ -188,6 +202,14 @@
         metrics.registerGauge("jayturn.journal.pending.millis", journal::pendingMillis);
         metrics.registerGauge("jayturn.journal.last.durable.millis", journal::lastDurableMillis);
         metrics.registerGauge("jayturn.control.leads", () -> raft.isLeader() ? 1 : 0);
+        metrics.registerGauge("jayturn.control.term", raft::term);
+        metrics.registerGauge("jayturn.control.log.last", () -> raft.status().lastIndex());
+        metrics.registerGauge("jayturn.control.log.durable", () -> raft.status().durableIndex());
+        metrics.registerGauge("jayturn.control.log.committed", () -> raft.status().commitIndex());
+        metrics.registerGauge(
+                "jayturn.control.leader.silent.millis",
+                () -> raft.isLeader() ? 0 : raft.status().leaderSilentMillis());
+        metrics.registerGauge("jayturn.control.votes", () -> raft.status().votes());
         metrics.registerGauge("jayturn.control.members", () -> raft.members().size());
         metrics.registerGauge("jayturn.control.voters", () -> voterCount(raft));
         metrics.registerGauge(
