Close a caller's connection behind the bytes accepted for it

A caller that read slowly while its instance was stopped lost the end of its response: closeWhenIdle took a connection for idle 0.3 s after the hand-over, and a close drops what the socket has not taken. The close of a refused request (2 s) and that of an aborted response did the same. BodyParts now knows whether the last flush is complete: a connection with unwritten bytes is not idle, and is idle only from the moment when they are written; refusals linger from their writing; aborts close behind what was accepted. A caller that takes nothing is still closed after the idle timeout, and by the end of a planned stop.

Seven related test classes pass.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/BodyParts.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/BodyParts.java
@@ -1,14 +1,19 @@
 package dev.jayturn.daemon.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Joins the parts of a response body that arrive together. A faulty upstream may send chunks of one
- * byte without end, and each write costs time that other callers lack.
+ * The output to a caller, which joins the parts of a response body that arrive together. A faulty
+ * upstream may send chunks of one byte without end, and each write costs time that other callers
+ * lack.
  */
 final class BodyParts {
     private static final int MAX_JOINED_BYTES = 16 * 1_024;
@@ -18,6 +23,14 @@
     /** Whether this object has allocated the buffer, so that parts can be added to it. */
     private boolean joined;
 
+    /** The last flush, which is done when the socket has taken all that was written before it. */
+    private @Nullable ChannelFuture lastFlush;
+
+    /** Returns the number of bytes of a body that a message holds. */
+    static int bytesOf(Object message) {
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     /** Adds a part, of which it takes ownership; writes those before if they are too long. */
     void add(ChannelHandlerContext ctx, ByteBuf part) {
         ByteBuf current = unsent;
@@ -52,6 +65,25 @@
         }
     }
 
+    /** Writes the parts so far and a message behind them, and flushes all. */
+    ChannelFuture writeAndFlush(ChannelHandlerContext ctx, Object message) {
+        write(ctx);
+        ChannelFuture flush = ctx.writeAndFlush(message);
+        lastFlush = flush;
+        return flush;
+    }
+
+    /** Returns whether the socket has taken all bytes up to the last flush. */
+    boolean isFlushed() {
+        ChannelFuture flush = lastFlush;
+        return flush == null || flush.isDone();
+    }
+
+    /** Closes the connection when the socket has taken all bytes that were accepted for it. */
+    void closeAfterFlush(ChannelHandlerContext ctx) {
+        writeAndFlush(ctx, Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     void release() {
         ReferenceCountUtil.release(unsent);
         unsent = null;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -6,7 +6,6 @@
 import dev.jayturn.core.result.ResultCode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -58,7 +57,7 @@
 
     private final Forwarder forwarder;
     private final ProxyServer server;
-    private final BodyParts unsentBody = new BodyParts();
+    private final BodyParts output = new BodyParts();
     private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
@@ -70,7 +69,7 @@
     private boolean continueSent;
     private @Nullable ChannelFuture lingeringResponse;
     private int pipelinedBytes;
-    private long lastReadMillis;
+    private long lastUsedMillis;
     private long headMillis;
     private long closingMillis;
 
@@ -94,19 +93,19 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
-        lastReadMillis = forwarder.timers().nowMillis();
+        lastUsedMillis = forwarder.timers().nowMillis();
         server.addConnection(this);
     }
 
     /** Closes the connection if the caller is too slow to send a request, or sends none. */
     void closeIfTimedOut(long nowMillis) {
         RequestLimits limits = forwarder.limits();
-        long idleMillis = nowMillis - lastReadMillis;
+        long idleMillis = nowMillis - lastUsedMillis;
         if (exchange != null || isWaitingForMemory()) {
             return;
         }
         if (closing) {
-            boolean lingers = lingeringResponse != null;
+            boolean lingers = lingeringResponse != null && output.isFlushed();
             long maxMillis = lingers ? LINGER_MILLIS : limits.idleTimeoutMillis();
             if (nowMillis - closingMillis > maxMillis) {
                 context().close();
@@ -140,19 +139,21 @@
     }
 
     /**
-     * Closes the connection if no request is in progress and none has come since a time. Otherwise
-     * it is closed after the response in progress, even if that began as one that keeps it open.
+     * Closes the connection if no request is in progress, none has come since a time, and the
+     * caller's socket has taken all responses. Otherwise it is closed after the response in
+     * progress, even if that began as one that keeps it open.
      */
     void closeWhenIdle(long sinceMillis) {
         keepAlive = false;
-        if (exchange == null && head == null && lastReadMillis <= sinceMillis) {
+        boolean idle = exchange == null && head == null && output.isFlushed();
+        if (idle && !closing && lastUsedMillis <= sinceMillis) {
             context().close();
         }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        lastReadMillis = forwarder.timers().nowMillis();
+        lastUsedMillis = forwarder.timers().nowMillis();
         if (closing) {
             ChannelFuture response = lingeringResponse;
             if (response != null && message instanceof LastHttpContent) {
@@ -163,7 +164,7 @@
         }
         if (isBusy() || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(message);
-            pipelinedBytes += bodyBytes(message);
+            pipelinedBytes += BodyParts.bytesOf(message);
             if (pipelinedMessages.size() > MAX_PIPELINED_MESSAGES
                     || pipelinedBytes > MAX_PIPELINED_BYTES) {
                 ctx.channel().config().setAutoRead(false);
@@ -186,10 +187,6 @@
         return context().channel().isWritable();
     }
 
-    private static int bodyBytes(Object message) {
-        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
-    }
-
     private void accept(ChannelHandlerContext ctx, Object message) {
         if (message instanceof HttpRequest received) {
             acceptHead(ctx, received);
@@ -296,7 +293,7 @@
             reject(ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
-        int bytes = bodyBytes(content);
+        int bytes = BodyParts.bytesOf(content);
         if (bodySoFar.exceedsMaximum(bytes)) {
             content.release();
             reject(ResultCode.BODY_TOO_LARGE, 0);
@@ -329,7 +326,7 @@
     /** Keeps a part of a body until there is memory for it; nothing more is read meanwhile. */
     private void postpone(HttpContent content) {
         pipelinedMessages.addFirst(content);
-        pipelinedBytes += bodyBytes(content);
+        pipelinedBytes += BodyParts.bytesOf(content);
         context().channel().config().setAutoRead(false);
     }
 
@@ -350,10 +347,11 @@
             forwarder.codec().setRequestId(response.headers(), decoded.id());
         }
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        ChannelFuture sent = context().writeAndFlush(response);
+        ChannelFuture sent = output.writeAndFlush(context(), response);
         lingeringResponse = sent;
         sent.addListener(
                 done -> {
+                    closingMillis = forwarder.timers().nowMillis();
                     if (done.isSuccess() && context().channel() instanceof DuplexChannel channel) {
                         channel.shutdownOutput();
                     }
@@ -381,7 +379,7 @@
         FullHttpResponse response = ErrorResponses.create(code, retryAfterMillis);
         forwarder.codec().setRequestId(response.headers(), requestId);
         setConnectionHeader(response);
-        context().writeAndFlush(response);
+        sendLast(response);
     }
 
     void sendHead(HttpResponse upstreamHead) {
@@ -409,26 +407,30 @@
      * buffer.
      */
     void sendBody(ByteBuf bytes) {
-        unsentBody.add(context(), bytes);
+        output.add(context(), bytes);
     }
 
     /** Sends the parts of the body so far. */
     void flushBody() {
-        unsentBody.write(context());
+        output.write(context());
         context().flush();
     }
 
     void sendEnd() {
-        unsentBody.write(context());
-        context().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        sendLast(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** The connection is in use until the caller's socket has taken the whole response. */
+    private void sendLast(Object message) {
+        output.writeAndFlush(context(), message)
+                .addListener(done -> lastUsedMillis = forwarder.timers().nowMillis());
     }
 
     /** Closes the connection, so that the caller cannot take the response for a complete one. */
     void abortResponse() {
         closing = true;
         closingMillis = forwarder.timers().nowMillis();
-        flushBody();
-        context().close();
+        output.closeAfterFlush(context());
     }
 
     void onExchangeEnded() {
@@ -436,14 +438,14 @@
         head = null;
         request = null;
         continueSent = false;
-        lastReadMillis = forwarder.timers().nowMillis();
+        lastUsedMillis = forwarder.timers().nowMillis();
         if (closing) {
             return;
         }
         if (!keepAlive) {
             closing = true;
-            closingMillis = lastReadMillis;
-            context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            closingMillis = lastUsedMillis;
+            output.closeAfterFlush(context());
             return;
         }
         resumeReading();
@@ -452,7 +454,7 @@
     private void acceptPipelined() {
         while (!isBusy() && !closing && !pipelinedMessages.isEmpty()) {
             Object message = pipelinedMessages.remove();
-            pipelinedBytes -= bodyBytes(message);
+            pipelinedBytes -= BodyParts.bytesOf(message);
             accept(context(), message);
         }
         // Messages that were decoded before the queue was empty may have stopped the reading again.
@@ -477,7 +479,7 @@
         closing = true;
         releaseBody();
         discardPipelined();
-        unsentBody.release();
+        output.release();
         Exchange current = exchange;
         if (current != null) {
             current.onCallerDisconnected();
