Log why a response of an upstream is not accepted

A failed attempt named BROKEN or UNATTRIBUTABLE only, which does not tell two responses in one, a late response to another request and a body that broke off apart. attempt.failed now has the fault, what shows the end of the response, whether it bore an id and how many requests its connection had carried; jayturn_responses_refused_total counts by fault. Compiled; no test of the new fields yet.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
@@ -56,6 +56,11 @@
         count("jayturn.attempts.failed", "failure", failure, 1);
     }
 
+    /** Counts a response of an upstream that was not accepted to its end, by its fault. */
+    public void recordRefusedResponse(String fault) {
+        count("jayturn.responses.refused", "fault", fault, 1);
+    }
+
     /** Counts a request that was not read because of a lack of memory. */
     public void recordMemoryRejection() {
         counters.computeIfAbsent(MEMORY_REJECTIONS, key -> registry.counter(MEMORY_REJECTIONS))
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -92,6 +92,11 @@
         return upstream;
     }
 
+    /** Returns the connection that was opened or reused, if any. */
+    @Nullable UpstreamConnection connection() {
+        return connection;
+    }
+
     /** Returns the origin of events that are received now. */
     StreamOrigin eventOrigin() {
         return StreamOrigin.of(heartbeatAtStart, forwarder.upstreams().newestOf(heartbeatAtStart));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -9,6 +9,7 @@
 import dev.jayturn.core.slice.SliceView;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.metrics.FleetMetrics;
+import dev.jayturn.daemon.upstream.ResponseFault;
 
 /**
  * Writes the log events of one request, which all contain its id, and updates the metrics. For the
@@ -116,6 +117,10 @@
             RequestProfile profile,
             String fingerprint) {
         metrics.recordFailedAttempt(failure.name());
+        UpstreamConnection connection = attempt.connection();
+        if (connection != null && connection.fault() != ResponseFault.NONE) {
+            metrics.recordRefusedResponse(connection.fault().name());
+        }
         log.event(
                 "attempt.failed",
                 json -> {
@@ -124,6 +129,12 @@
                     json.writeStringField("failure", failure.name());
                     json.writeStringField("fingerprint", fingerprint);
                     json.writeNumberField("ran", attempt.ranMillis());
+                    if (connection != null) {
+                        json.writeStringField("fault", connection.fault().name());
+                        json.writeStringField("framing", connection.framing().name());
+                        json.writeBooleanField("identified", connection.isIdentified());
+                        json.writeNumberField("carried", connection.earlierRequests());
+                    }
                     json.writeBooleanField("responded", attempt.hasResponded());
                     json.writeNumberField("events", eventCount);
                     json.writeArrayFieldStart("parts");
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import dev.jayturn.core.timer.Cancellable;
 import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.daemon.upstream.ResponseFault;
 import dev.jayturn.daemon.upstream.UpstreamSocket;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -62,6 +63,9 @@
     private int skippedResponses;
     private int skippedBytes;
     private @Nullable Cancellable discardTimer;
+    private ResponseFault fault = ResponseFault.NONE;
+    private Framing framing = Framing.UNKNOWN;
+    private boolean identified;
     private boolean keepAlive;
     private boolean closeDelimited;
     private boolean connectionFailed;
@@ -69,6 +73,16 @@
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
 
+    /** What shows the end of a response. */
+    enum Framing {
+        /** No head was received. */
+        UNKNOWN,
+        BODILESS,
+        LENGTH,
+        CHUNKED,
+        CLOSE
+    }
+
     UpstreamConnection(
             UpstreamConnectionPool pool,
             HeaderCodec codec,
@@ -91,6 +105,26 @@
         return closeDelimited;
     }
 
+    /** Returns why the response to the current or last request was not accepted. */
+    ResponseFault fault() {
+        return fault;
+    }
+
+    /** Returns what shows the end of the response to the current or last request. */
+    Framing framing() {
+        return framing;
+    }
+
+    /** Returns whether the response to the current or last request has an id. */
+    boolean isIdentified() {
+        return identified;
+    }
+
+    /** Returns the number of requests that were sent before the current or last one. */
+    int earlierRequests() {
+        return Math.max(0, carriedIds.size() - 1);
+    }
+
     void setIdleSince(long nowMillis) {
         idleSinceMillis = nowMillis;
     }
@@ -121,6 +155,9 @@
         decoder.onRequest(request.method());
         requestWritten = false;
         headReceived = false;
+        fault = ResponseFault.NONE;
+        framing = Framing.UNKNOWN;
+        identified = false;
         keepAlive = true;
         skippedResponses = 0;
         skippedBytes = 0;
@@ -131,13 +168,20 @@
                         done -> {
                             requestWritten = done.isSuccess();
                             if (!done.isSuccess()) {
-                                fail();
+                                fail(ResponseFault.CLOSED);
                             }
                         });
     }
 
+    private void setFault(ResponseFault newFault) {
+        if (fault == ResponseFault.NONE) {
+            fault = newFault;
+        }
+    }
+
     /** Closes the connection without completing a response that is delimited by the close. */
-    private void fail() {
+    private void fail(ResponseFault newFault) {
+        setFault(newFault);
         connectionFailed = true;
         channel.close();
     }
@@ -182,7 +226,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail();
+            fail(ResponseFault.UNREADABLE);
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -207,11 +251,12 @@
         skippingResponse = !merged && (informational || foreign);
         if (skippingResponse) {
             if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
-                fail();
+                fail(ResponseFault.EXCESS);
             }
             return;
         }
         if (merged || (id.isEmpty() && !isAttributableWithoutId(response))) {
+            setFault(merged ? ResponseFault.MERGED_HEAD : ResponseFault.UNIDENTIFIED);
             abort();
             responseListener.onUnattributableResponse();
             return;
@@ -222,11 +267,23 @@
                         || HttpUtil.isTransferEncodingChunked(response)
                         || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
         closeDelimited = !framed;
+        identified = !id.isEmpty();
+        framing = framingOf(response);
         keepAlive = framed && HttpUtil.isKeepAlive(response);
         readKeepAliveTimeout(response);
         responseListener.onResponseHead(response);
     }
 
+    private Framing framingOf(HttpResponse response) {
+        if (closeDelimited) {
+            return Framing.CLOSE;
+        }
+        if (decoder.isBodiless(response)) {
+            return Framing.BODILESS;
+        }
+        return HttpUtil.isTransferEncodingChunked(response) ? Framing.CHUNKED : Framing.LENGTH;
+    }
+
     /**
      * Only the first request of a connection has no earlier one that the response may belong to.
      */
@@ -296,7 +353,7 @@
             return;
         }
         if (channel.isReset()) {
-            fail();
+            fail(ResponseFault.RESET);
             return;
         }
         listener = null;
@@ -307,7 +364,7 @@
     private void skip(HttpContent content, boolean last) {
         skippedBytes += content.content().readableBytes();
         if (skippedBytes > MAX_SKIPPED_BYTES) {
-            fail();
+            fail(ResponseFault.EXCESS);
             return;
         }
         if (!last) {
@@ -349,7 +406,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOGGER.atFine().withCause(cause).log("proxy: Connection to an upstream failed.");
-        fail();
+        fail(ResponseFault.CLOSED);
     }
 
     @Override
@@ -359,6 +416,7 @@
         UpstreamListener responseListener = listener;
         listener = null;
         if (responseListener != null) {
+            setFault(ResponseFault.CLOSED);
             responseListener.onResponseIncomplete();
         }
     }
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/ResponseFault.java
@@ -0,0 +1,19 @@
+package dev.jayturn.daemon.upstream;
+
+/** Why a response of an upstream was not accepted, or not to its end. */
+public enum ResponseFault {
+    /** No fault was found. */
+    NONE,
+    /** The head holds the status line of another response. */
+    MERGED_HEAD,
+    /** The head does not show which request it answers. */
+    UNIDENTIFIED,
+    /** The bytes cannot be parsed as a response. */
+    UNREADABLE,
+    /** Too much was sent that belongs to other requests. */
+    EXCESS,
+    /** The connection was closed before the end of the response. */
+    CLOSED,
+    /** The connection was reset after its orderly end. */
+    RESET
+}
