Refuse the head of a response that is not well-formed

Callers got a 200 with the status line, the signature and the body of the 500 that followed it on the connection (200 OHTTP/1.1 500 No): the check for two heads in one read the values of headers, not the reason phrase. Likewise statuses 2000, 20 and 0200, transfer codings other than chunked (forwarded without them), a folded line that holds the length, and two signatures were forwarded. Cause: heads were forwarded unless one sign of a fault was seen.

ResponseHeadCheck now accepts a head only if version, status, reason phrase and codings are sound; the decoder fails on folded lines and statuses that are no three digits. Anything else is a 502. The decoder moves to the package of both paths to upstreams.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
@@ -22,7 +22,7 @@
     /** Returns the id of the request that a response answers; empty if it has none or several. */
     String responseRequestId(HttpResponse response);
 
-    /** Returns whether a response has an upstream's signature. */
+    /** Returns whether a response has one signature of an upstream. */
     boolean isSigned(HttpResponse response);
 
     /** Returns whether the upstream reports that it did not and will not execute the request. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -4,6 +4,8 @@
 import dev.jayturn.core.timer.Cancellable;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.upstream.ResponseFault;
+import dev.jayturn.daemon.upstream.ResponseHeadCheck;
+import dev.jayturn.daemon.upstream.UpstreamResponseDecoder;
 import dev.jayturn.daemon.upstream.UpstreamSocket;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -243,20 +245,21 @@
             return;
         }
         String id = codec.responseRequestId(response);
-        boolean merged = UpstreamResponseDecoder.isMerged(response.headers());
+        ResponseFault headFault = ResponseHeadCheck.check(response);
+        boolean wellFormed = headFault == ResponseFault.NONE;
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean foreign = !id.isEmpty() && !id.equals(requestId);
         strayReceived = strayReceived || foreign;
         // A late response to an earlier request may arrive before the response to this one.
-        skippingResponse = !merged && (informational || foreign);
+        skippingResponse = wellFormed && (informational || foreign);
         if (skippingResponse) {
             if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
                 fail(ResponseFault.EXCESS);
             }
             return;
         }
-        if (merged || (id.isEmpty() && !isAttributableWithoutId(response))) {
-            setFault(merged ? ResponseFault.MERGED_HEAD : ResponseFault.UNIDENTIFIED);
+        if (!wellFormed || (id.isEmpty() && !isAttributableWithoutId(response))) {
+            setFault(wellFormed ? ResponseFault.UNIDENTIFIED : headFault);
             abort();
             responseListener.onUnattributableResponse();
             return;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
@@ -2,6 +2,7 @@
 
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.link.LinkMeter;
+import dev.jayturn.daemon.upstream.UpstreamResponseDecoder;
 import dev.jayturn.daemon.upstream.UpstreamSocket;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamListener.java
@@ -23,8 +23,8 @@
     void onUnreachable();
 
     /**
-     * Called when a response was received that may belong to another request, so that nothing is
-     * known about this one; the connection is closed.
+     * Called when a response was received that may belong to another request, or has a malformed
+     * head, so that nothing is known about this one; the connection is closed.
      */
     void onUnattributableResponse();
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/ResponseFault.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/ResponseFault.java
@@ -6,6 +6,12 @@
     NONE,
     /** The head holds the status line of another response. */
     MERGED_HEAD,
+    /** The protocol or its version is another one. */
+    WRONG_VERSION,
+    /** The status is out of range, or switches protocols. */
+    WRONG_STATUS,
+    /** The body has a transfer coding other than chunked. */
+    UNKNOWN_CODING,
     /** The head does not show which request it answers. */
     UNIDENTIFIED,
     /** The bytes cannot be parsed as a response. */
