Abort a body that holds the head of another response

Callers got a 200 as whole whose body was filled up with, or ended by, the head of the 500 that followed on the connection: the upstream had broken off and gone on with another response. Framing cannot show it: a length is filled up by any bytes, and a body without a length ends with the connection.

EmbeddedHeadScanner looks for a status line at any offset, followed by header lines of which one has the id of a request that the connection has carried, over parts of any size and on into bytes that lie behind the end. A sound body does not hold that unless it quotes its own head word for word; other heads and escaped text pass. If a body ends like the beginning of a head, its last part waits 20 ms for the rest. Only the byte H is searched for in the rest of a body.

Not measured: the processor time of the search.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CarriedIds.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CarriedIds.java
@@ -18,13 +18,18 @@
 
     /** Returns whether a request with an id may be sent. */
     boolean admits(String id) {
+        return size < MAX_IDS && !contains(id);
+    }
+
+    /** Returns whether a request with an id, or with one that shares its hash, was sent. */
+    boolean contains(String id) {
         int hash = id.hashCode();
         for (int i = 0; i < size; i++) {
             if (hashes[i] == hash) {
-                return false;
+                return true;
             }
         }
-        return size < MAX_IDS;
+        return false;
     }
 
     void add(String id) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
@@ -22,6 +22,9 @@
     /** Returns the id of the request that a response answers; empty if it has none or several. */
     String responseRequestId(HttpResponse response);
 
+    /** Returns the name of the header with the id of the request. */
+    String requestIdHeader();
+
     /** Returns whether a response has one signature of an upstream. */
     boolean isSigned(HttpResponse response);
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -3,10 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import dev.jayturn.core.timer.Cancellable;
 import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.daemon.upstream.EmbeddedHeadScanner;
 import dev.jayturn.daemon.upstream.ResponseFault;
 import dev.jayturn.daemon.upstream.ResponseHeadCheck;
 import dev.jayturn.daemon.upstream.UpstreamResponseDecoder;
 import dev.jayturn.daemon.upstream.UpstreamSocket;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,6 +57,7 @@
     private final UpstreamResponseDecoder decoder;
     private final TimerService timers;
     private final CarriedIds carriedIds = new CarriedIds();
+    private EmbeddedHeadScanner bodyScanner;
     private @Nullable UpstreamListener listener;
     private String requestId = "";
     private boolean requestWritten;
@@ -72,6 +75,7 @@
     private boolean closeDelimited;
     private boolean connectionFailed;
     private boolean awaitingReset;
+    private boolean awaitingRestOfHead;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
 
@@ -96,6 +100,11 @@
         this.channel = channel;
         this.decoder = decoder;
         this.timers = timers;
+        this.bodyScanner = newScanner();
+    }
+
+    private EmbeddedHeadScanner newScanner() {
+        return new EmbeddedHeadScanner(codec.requestIdHeader(), carriedIds::contains);
     }
 
     Channel channel() {
@@ -157,6 +166,7 @@
         decoder.onRequest(request.method());
         requestWritten = false;
         headReceived = false;
+        bodyScanner = newScanner();
         fault = ResponseFault.NONE;
         framing = Framing.UNKNOWN;
         identified = false;
@@ -227,6 +237,9 @@
             channel.close();
             return;
         }
+        if (awaitingRestOfHead) {
+            return;
+        }
         if (message.decoderResult().isFailure()) {
             fail(ResponseFault.UNREADABLE);
             return;
@@ -321,12 +334,55 @@
         if (responseListener == null || !headReceived) {
             return;
         }
+        if (bodyScanner.scan(content.content()) || (last && continuesInMoreBytes())) {
+            fail(ResponseFault.EMBEDDED_HEAD);
+            return;
+        }
+        if (last && bodyScanner.isOpen() && !closeDelimited) {
+            awaitRestOfHead(responseListener, content.content().retain());
+            return;
+        }
         if (content.content().isReadable()) {
             responseListener.onResponseBody(content.content());
         }
-        if (!last || listener != responseListener) {
-            return;
+        if (last && listener == responseListener) {
+            endResponse(responseListener);
         }
+    }
+
+    /** Returns whether a head that begins in the body goes on behind the end of the response. */
+    private boolean continuesInMoreBytes() {
+        return decoder.hasMoreBytes() && bodyScanner.scanBehindBody(decoder.moreBytes());
+    }
+
+    /**
+     * Completes a response whose body ends like the beginning of a head, unless the rest of that
+     * head follows. Consumes the last bytes of the body.
+     */
+    private void awaitRestOfHead(UpstreamListener responseListener, ByteBuf lastBytes) {
+        awaitingRestOfHead = true;
+        decoder.onResponseEnd();
+        decoder.passBytesTo(
+                bytes -> {
+                    if (bodyScanner.scanBehindBody(bytes)) {
+                        fail(ResponseFault.EMBEDDED_HEAD);
+                    }
+                });
+        keepAlive = false;
+        timers.schedule(
+                UpstreamSocket.RESET_WAIT_MILLIS,
+                () -> {
+                    if (listener == responseListener) {
+                        responseListener.onResponseBody(lastBytes);
+                    }
+                    lastBytes.release();
+                    if (listener == responseListener) {
+                        endResponse(responseListener);
+                    }
+                });
+    }
+
+    private void endResponse(UpstreamListener responseListener) {
         if (closeDelimited) {
             awaitReset();
         } else {
@@ -401,7 +457,7 @@
     /** Closes this side too when the upstream has closed its side. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof ChannelInputShutdownEvent && !awaitingReset) {
+        if (event instanceof ChannelInputShutdownEvent && !awaitingReset && !awaitingRestOfHead) {
             channel.close();
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/ResponseFault.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/ResponseFault.java
@@ -14,6 +14,8 @@
     UNKNOWN_CODING,
     /** The head does not show which request it answers. */
     UNIDENTIFIED,
+    /** The body holds the head of another response. */
+    EMBEDDED_HEAD,
     /** The bytes cannot be parsed as a response. */
     UNREADABLE,
     /** Too much was sent that belongs to other requests. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamResponseDecoder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamResponseDecoder.java
@@ -10,7 +10,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decodes the responses on a connection to an upstream. A head with a status that is no three
@@ -24,6 +26,7 @@
     private static final int MAX_CHUNK_BYTES = 16_384;
     private static final Pattern STATUS = Pattern.compile("\\d{3}");
 
+    private @Nullable Consumer<ByteBuf> lateBytes;
     private boolean responseDue;
     private boolean headRequest;
     private boolean insideHead = true;
@@ -41,6 +44,13 @@
         headRequest = method.equals(HttpMethod.HEAD);
     }
 
+    /**
+     * Passes bytes that arrive while no response is due to a consumer, until the connection ends.
+     */
+    public void passBytesTo(Consumer<ByteBuf> consumer) {
+        lateBytes = consumer;
+    }
+
     /** Called when no response is due until the next request. */
     public void onResponseEnd() {
         responseDue = false;
@@ -57,8 +67,20 @@
             super.channelRead(ctx, message);
             return;
         }
-        ReferenceCountUtil.release(message);
-        ctx.close();
+        try {
+            if (lateBytes == null) {
+                ctx.close();
+            } else {
+                lateBytes.accept((ByteBuf) message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    /** Returns the bytes after the message that was decoded last; they are not consumed. */
+    public ByteBuf moreBytes() {
+        return internalBuffer();
     }
 
     /** Returns whether a response has no body because of its status or the request's method. */
