--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HeaderCodec.java
@@ -22,7 +22,10 @@
     /** Returns the id of the request that a response answers; empty if it has none or several. */
     String responseRequestId(HttpResponse response);
 
-    /** Returns whether a response has an upstream's signature. */
+    /** Returns the name of the header with the id of the request. */
+    String requestIdHeader();
+
+    /** Returns whether a response has one signature of an upstream. */
     boolean isSigned(HttpResponse response);
 
     /** Returns whether the upstream reports that it did not and will not execute the request. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -3,7 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import dev.jayturn.core.timer.Cancellable;
 import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.daemon.upstream.EmbeddedHeadScanner;
+import dev.jayturn.daemon.upstream.ResponseFault;
+import dev.jayturn.daemon.upstream.ResponseHeadCheck;
+import dev.jayturn.daemon.upstream.UpstreamResponseDecoder;
 import dev.jayturn.daemon.upstream.UpstreamSocket;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -52,6 +57,7 @@
     private final UpstreamResponseDecoder decoder;
     private final TimerService timers;
     private final CarriedIds carriedIds = new CarriedIds();
+    private EmbeddedHeadScanner bodyScanner;
     private @Nullable UpstreamListener listener;
     private String requestId = "";
     private boolean requestWritten;
@@ -62,13 +68,27 @@
     private int skippedResponses;
     private int skippedBytes;
     private @Nullable Cancellable discardTimer;
+    private ResponseFault fault = ResponseFault.NONE;
+    private Framing framing = Framing.UNKNOWN;
+    private boolean identified;
     private boolean keepAlive;
     private boolean closeDelimited;
     private boolean connectionFailed;
     private boolean awaitingReset;
+    private boolean awaitingRestOfHead;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
 
+    /** What shows the end of a response. */
+    enum Framing {
+        /** No head was received. */
+        UNKNOWN,
+        BODILESS,
+        LENGTH,
+        CHUNKED,
+        CLOSE
+    }
+
     UpstreamConnection(
             UpstreamConnectionPool pool,
             HeaderCodec codec,
@@ -80,6 +100,11 @@
         this.channel = channel;
         this.decoder = decoder;
         this.timers = timers;
+        this.bodyScanner = newScanner();
+    }
+
+    private EmbeddedHeadScanner newScanner() {
+        return new EmbeddedHeadScanner(codec.requestIdHeader(), carriedIds::contains);
     }
 
     Channel channel() {
@@ -91,6 +116,26 @@
         return closeDelimited;
     }
 
+    /** Returns why the response to the current or last request was not accepted. */
+    ResponseFault fault() {
+        return fault;
+    }
+
+    /** Returns what shows the end of the response to the current or last request. */
+    Framing framing() {
+        return framing;
+    }
+
+    /** Returns whether the response to the current or last request has an id. */
+    boolean isIdentified() {
+        return identified;
+    }
+
+    /** Returns the number of requests that were sent before the current or last one. */
+    int earlierRequests() {
+        return Math.max(0, carriedIds.size() - 1);
+    }
+
     void setIdleSince(long nowMillis) {
         idleSinceMillis = nowMillis;
     }
@@ -121,6 +166,10 @@
         decoder.onRequest(request.method());
         requestWritten = false;
         headReceived = false;
+        bodyScanner = newScanner();
+        fault = ResponseFault.NONE;
+        framing = Framing.UNKNOWN;
+        identified = false;
         keepAlive = true;
         skippedResponses = 0;
         skippedBytes = 0;
@@ -131,13 +180,20 @@
                         done -> {
                             requestWritten = done.isSuccess();
                             if (!done.isSuccess()) {
-                                fail();
+                                fail(ResponseFault.CLOSED);
                             }
                         });
     }
 
+    private void setFault(ResponseFault newFault) {
+        if (fault == ResponseFault.NONE) {
+            fault = newFault;
+        }
+    }
+
     /** Closes the connection without completing a response that is delimited by the close. */
-    private void fail() {
+    private void fail(ResponseFault newFault) {
+        setFault(newFault);
         connectionFailed = true;
         channel.close();
     }
@@ -181,8 +237,11 @@
             channel.close();
             return;
         }
+        if (awaitingRestOfHead) {
+            return;
+        }
         if (message.decoderResult().isFailure()) {
-            fail();
+            fail(ResponseFault.UNREADABLE);
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -199,19 +258,21 @@
             return;
         }
         String id = codec.responseRequestId(response);
-        boolean merged = UpstreamResponseDecoder.isMerged(response.headers());
+        ResponseFault headFault = ResponseHeadCheck.check(response);
+        boolean wellFormed = headFault == ResponseFault.NONE;
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean foreign = !id.isEmpty() && !id.equals(requestId);
         strayReceived = strayReceived || foreign;
         // A late response to an earlier request may arrive before the response to this one.
-        skippingResponse = !merged && (informational || foreign);
+        skippingResponse = wellFormed && (informational || foreign);
         if (skippingResponse) {
             if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
-                fail();
+                fail(ResponseFault.EXCESS);
             }
             return;
         }
-        if (merged || (id.isEmpty() && !isAttributableWithoutId(response))) {
+        if (!wellFormed || (id.isEmpty() && !isAttributableWithoutId(response))) {
+            setFault(wellFormed ? ResponseFault.UNIDENTIFIED : headFault);
             abort();
             responseListener.onUnattributableResponse();
             return;
@@ -222,11 +283,23 @@
                         || HttpUtil.isTransferEncodingChunked(response)
                         || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
         closeDelimited = !framed;
+        identified = !id.isEmpty();
+        framing = framingOf(response);
         keepAlive = framed && HttpUtil.isKeepAlive(response);
         readKeepAliveTimeout(response);
         responseListener.onResponseHead(response);
     }
 
+    private Framing framingOf(HttpResponse response) {
+        if (closeDelimited) {
+            return Framing.CLOSE;
+        }
+        if (decoder.isBodiless(response)) {
+            return Framing.BODILESS;
+        }
+        return HttpUtil.isTransferEncodingChunked(response) ? Framing.CHUNKED : Framing.LENGTH;
+    }
+
     /**
      * Only the first request of a connection has no earlier one that the response may belong to.
      */
@@ -261,12 +334,55 @@
         if (responseListener == null || !headReceived) {
             return;
         }
+        if (bodyScanner.scan(content.content()) || (last && continuesInMoreBytes())) {
+            fail(ResponseFault.EMBEDDED_HEAD);
+            return;
+        }
+        if (last && bodyScanner.isOpen() && !closeDelimited) {
+            awaitRestOfHead(responseListener, content.content().retain());
+            return;
+        }
         if (content.content().isReadable()) {
             responseListener.onResponseBody(content.content());
         }
-        if (!last || listener != responseListener) {
-            return;
+        if (last && listener == responseListener) {
+            endResponse(responseListener);
         }
+    }
+
+    /** Returns whether a head that begins in the body goes on behind the end of the response. */
+    private boolean continuesInMoreBytes() {
+        return decoder.hasMoreBytes() && bodyScanner.scanBehindBody(decoder.moreBytes());
+    }
+
+    /**
+     * Completes a response whose body ends like the beginning of a head, unless the rest of that
+     * head follows. Consumes the last bytes of the body.
+     */
+    private void awaitRestOfHead(UpstreamListener responseListener, ByteBuf lastBytes) {
+        awaitingRestOfHead = true;
+        decoder.onResponseEnd();
+        decoder.passBytesTo(
+                bytes -> {
+                    if (bodyScanner.scanBehindBody(bytes)) {
+                        fail(ResponseFault.EMBEDDED_HEAD);
+                    }
+                });
+        keepAlive = false;
+        timers.schedule(
+                UpstreamSocket.RESET_WAIT_MILLIS,
+                () -> {
+                    if (listener == responseListener) {
+                        responseListener.onResponseBody(lastBytes);
+                    }
+                    lastBytes.release();
+                    if (listener == responseListener) {
+                        endResponse(responseListener);
+                    }
+                });
+    }
+
+    private void endResponse(UpstreamListener responseListener) {
         if (closeDelimited) {
             awaitReset();
         } else {
@@ -296,7 +412,7 @@
             return;
         }
         if (channel.isReset()) {
-            fail();
+            fail(ResponseFault.RESET);
             return;
         }
         listener = null;
@@ -307,7 +423,7 @@
     private void skip(HttpContent content, boolean last) {
         skippedBytes += content.content().readableBytes();
         if (skippedBytes > MAX_SKIPPED_BYTES) {
-            fail();
+            fail(ResponseFault.EXCESS);
             return;
         }
         if (!last) {
@@ -341,7 +457,7 @@
     /** Closes this side too when the upstream has closed its side. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof ChannelInputShutdownEvent && !awaitingReset) {
+        if (event instanceof ChannelInputShutdownEvent && !awaitingReset && !awaitingRestOfHead) {
             channel.close();
         }
     }
@@ -349,7 +465,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         LOGGER.atFine().withCause(cause).log("proxy: Connection to an upstream failed.");
-        fail();
+        fail(ResponseFault.CLOSED);
     }
 
     @Override
@@ -359,6 +475,7 @@
         UpstreamListener responseListener = listener;
         listener = null;
         if (responseListener != null) {
+            setFault(ResponseFault.CLOSED);
             responseListener.onResponseIncomplete();
         }
     }
