Log each decision on a retry and count repeated sends by cause

Callers' operators saw more repeated arrivals at a service than all instances together may cause, and the logs did not say which instance retried by which share. retry.decided names the service, the cause, the own requests and retries in the window, the number of instances used with its source and age and the age of the process; jayturn_sends_repeated_total counts sends beyond the first by cause, with those that take nothing from the budget.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -71,6 +71,8 @@
     private long lastLeaderUpdateMillis = Long.MIN_VALUE / 2;
     private final AppliedConfiguration configuration;
     private int entryCount = 1;
+    private String entryCountSource = "";
+    private long entryCountMillis;
     private int knownPeersHash;
     private long lastReportMillis;
     private long ticks;
@@ -175,6 +177,16 @@
         return entryCount;
     }
 
+    /** Returns the control instance that named the number of entry instances; empty if none has. */
+    public String entryCountSource() {
+        return entryCountSource;
+    }
+
+    /** Returns the time since the number of entry instances was named; -1 if it was not. */
+    public long entryCountAgeMillis() {
+        return entryCountSource.isEmpty() ? -1 : timers.nowMillis() - entryCountMillis;
+    }
+
     /**
      * Returns whether this process has applied a configuration and learnt of a leader. It is false
      * while a newer configuration cannot be applied: other instances may be able to, and callers
@@ -325,6 +337,8 @@
             leader = update.leader();
             leaderKnown = true;
             entryCount = Math.max(1, update.entries());
+            entryCountSource = update.from();
+            entryCountMillis = now;
         }
         List<Peer> peers = update.peers();
         if (peers != null) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/retry/SharedRetryBudget.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/retry/SharedRetryBudget.java
@@ -50,6 +50,16 @@
         return true;
     }
 
+    /** Returns the number of requests in the window that ends with the last request or retry. */
+    public int requestCount() {
+        return requestMillis.size();
+    }
+
+    /** Returns the number of retries in the window that ends with the last attempt at one. */
+    public int retryCount() {
+        return retryMillis.size();
+    }
+
     private void expire(Deque<Long> times) {
         long windowStartMillis = timers.nowMillis() - windowMillis;
         while (!times.isEmpty() && times.peekFirst() < windowStartMillis) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
@@ -56,6 +56,11 @@
         count("jayturn.attempts.failed", "failure", failure, 1);
     }
 
+    /** Counts a request that was sent to one more upstream, by the failure that caused it. */
+    public void recordRepeatedSend(String cause) {
+        count("jayturn.sends.repeated", "cause", cause, 1);
+    }
+
     /** Counts a request that was not read because of a lack of memory. */
     public void recordMemoryRejection() {
         counters.computeIfAbsent(MEMORY_REJECTIONS, key -> registry.counter(MEMORY_REJECTIONS))
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -233,7 +233,9 @@
             return Failure.BROKEN;
         }
         // REPLACED means that the retry is acquired: Exchange.onFailure does not acquire it again.
-        return !successStatus && exchange.tryAcquireRetry() ? Failure.REPLACED : null;
+        return !successStatus && exchange.tryAcquireRetry(Failure.REPLACED)
+                ? Failure.REPLACED
+                : null;
     }
 
     /** Returns whether the response can go on with the stream, if the caller has a part of it. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -199,7 +199,7 @@
         log.recordTokenWait(times.elapsedMillis());
         Service target = service;
         if (target != null) {
-            forwarder.retryBudget(target.name()).recordRequest();
+            forwarder.retryBudgets().recordRequest(target.name());
         }
         times.onDispatched();
         dispatch();
@@ -296,7 +296,7 @@
     }
 
     void onSent() {
-        history.onSent();
+        log.recordSend(history.onSent());
     }
 
     QuarantineCheck quarantineCheck() {
@@ -364,7 +364,7 @@
     /** Called when an attempt failed: retries the request, or fails it. */
     void onFailure(Attempt failed, Attempt.Failure failure) {
         attempt = null;
-        history.onFailed(failed.upstream());
+        history.onFailed(failed.upstream(), failure);
         caller.flushBody();
         log.logFailedAttempt(
                 failed,
@@ -384,7 +384,7 @@
                 break;
             case DECLINED:
                 history.onNotExecuted();
-                retryOrFail(failure, tryAcquireRetry());
+                retryOrFail(failure, tryAcquireRetry(failure));
                 break;
             case REPLACED:
                 // Attempt.classify has already acquired the retry.
@@ -397,7 +397,7 @@
                                 && (!headSent || stream.hasBegun())
                                 && stream.canBeContinued()
                                 && failed.isRetryAllowed();
-                retryOrFail(failure, retryable && tryAcquireRetry());
+                retryOrFail(failure, retryable && tryAcquireRetry(failure));
                 break;
         }
     }
@@ -414,14 +414,14 @@
      * Returns whether the request may be sent to one more upstream, and counts the retry in the
      * retry budget if so.
      */
-    boolean tryAcquireRetry() {
+    boolean tryAcquireRetry(Attempt.Failure cause) {
         Route currentRoute = route;
         Service target = service;
         return currentRoute != null
                 && target != null
                 && (currentRoute.isRepeatable() || !history.mayHaveExecuted())
                 && history.sendCount() < currentRoute.maxAttempts()
-                && forwarder.retryBudget(target.name()).tryAcquire(forwarder.instanceCount());
+                && forwarder.retryBudgets().tryAcquire(target.name(), request.id(), cause);
     }
 
     /** Called when the caller has disconnected; cancels the attempt in progress. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -9,6 +9,7 @@
 import dev.jayturn.core.slice.SliceView;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.metrics.FleetMetrics;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Writes the log events of one request, which all contain its id, and updates the metrics. For the
@@ -109,6 +110,15 @@
         }
     }
 
+    /**
+     * Counts a send beyond the first by the failure that caused it, which is null for the first.
+     */
+    void recordSend(Attempt.@Nullable Failure cause) {
+        if (cause != null) {
+            metrics.recordRepeatedSend(cause.name());
+        }
+    }
+
     void logFailedAttempt(
             Attempt attempt,
             Attempt.Failure failure,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -18,7 +18,6 @@
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.resumption.StreamOrigins;
-import dev.jayturn.core.retry.SharedRetryBudget;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.link.LinkMeter;
@@ -27,9 +26,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -50,8 +47,7 @@
     private final UpstreamRegistry upstreams;
     private final Dispatcher dispatcher;
     private final UpstreamConnectionPools pools;
-    private RetryBounds retryBounds;
-    private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
+    private final ServiceRetryBudgets retryBudgets;
     private final RetryQueue tokenWaitQueue = new RetryQueue();
     private final RetryQueue permitWaitQueue = new RetryQueue();
     private final Quarantine quarantine;
@@ -103,7 +99,7 @@
         this.dispatcher = dispatcher;
         this.pools = new UpstreamConnectionPools(loop, timers, codec, linkMeter, source);
         this.quarantine = quarantine;
-        this.retryBounds = retryBounds;
+        this.retryBudgets = new ServiceRetryBudgets(timers, log, retryBounds);
         this.bodyMemory = new BodyMemory(timers, log, metrics);
     }
 
@@ -120,6 +116,7 @@
         peerLoads = loads;
         rateLimiter = limiter;
         streamOrigins = origins;
+        retryBudgets.setEntryInstance(instance);
         dispatcher.setRateLimits(limiter);
         dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
     }
@@ -139,8 +136,7 @@
 
     /** Replaces the limits on retries, and forgets the retries and requests counted so far. */
     public void setRetryBounds(RetryBounds bounds) {
-        retryBounds = bounds;
-        retryBudgets.clear();
+        retryBudgets.setBounds(bounds);
     }
 
     /** Sets the routes for new requests, and resumes those that wait for a configuration. */
@@ -302,20 +298,8 @@
         return table == null ? RequestLimits.DEFAULTS : table.configuration().limits();
     }
 
-    int instanceCount() {
-        EntryInstance instance = entryInstance;
-        return instance == null ? 1 : instance.entryCount();
-    }
-
-    SharedRetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(
-                service,
-                name ->
-                        new SharedRetryBudget(
-                                timers,
-                                retryBounds.windowMillis(),
-                                retryBounds.ratio(),
-                                retryBounds.slack()));
+    ServiceRetryBudgets retryBudgets() {
+        return retryBudgets;
     }
 
     /**
@@ -386,8 +370,9 @@
 
     /** Returns whether this instance's part of an upstream's connection limit admits a request. */
     boolean canConnect(Service service, UpstreamLoad upstream) {
-        int maxConnections =
-                (int) (MAX_CONNECTION_SHARE * service.maxConnections() / instanceCount());
+        EntryInstance instance = entryInstance;
+        int instances = instance == null ? 1 : instance.entryCount();
+        int maxConnections = (int) (MAX_CONNECTION_SHARE * service.maxConnections() / instances);
         return pools.poolOf(upstream).hasCapacity(Math.max(MIN_CONNECTIONS, maxConnections));
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/SendHistory.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/SendHistory.java
@@ -3,6 +3,7 @@
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import java.util.HashSet;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** The upstreams that one request was sent to, and whether any of them may have executed it. */
 final class SendHistory {
@@ -16,12 +17,19 @@
     private int sendCount;
     private int notExecutedCount;
     private int unsentCount;
+    private boolean arrived;
+    private Attempt.@Nullable Failure lastFailure;
 
-    void onSent() {
+    /** Records a send; returns why the request was sent again, null for the first send. */
+    Attempt.@Nullable Failure onSent() {
+        Attempt.Failure cause = arrived ? lastFailure : null;
+        arrived = true;
         sendCount++;
+        return cause;
     }
 
-    void onFailed(UpstreamLoad upstream) {
+    void onFailed(UpstreamLoad upstream, Attempt.Failure failure) {
+        lastFailure = failure;
         triedIds.add(upstream.heartbeat().id());
     }
 
--- /dev/null
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServiceRetryBudgets.java
@@ -0,0 +1,77 @@
+package dev.jayturn.daemon.proxy;
+
+import dev.jayturn.core.fleet.EntryInstance;
+import dev.jayturn.core.retry.SharedRetryBudget;
+import dev.jayturn.core.timer.TimerService;
+import dev.jayturn.daemon.eventlog.EventLog;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The retry budgets of an entry instance, one for each service; logs each decision on a retry. */
+final class ServiceRetryBudgets {
+    private final TimerService timers;
+    private final EventLog log;
+    private final long startMillis;
+    private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
+    private Forwarder.RetryBounds bounds;
+    private @Nullable EntryInstance entryInstance;
+
+    ServiceRetryBudgets(TimerService timers, EventLog log, Forwarder.RetryBounds bounds) {
+        this.timers = timers;
+        this.log = log;
+        this.bounds = bounds;
+        this.startMillis = timers.nowMillis();
+    }
+
+    void setEntryInstance(EntryInstance instance) {
+        entryInstance = instance;
+    }
+
+    /** Replaces the limits on retries, and forgets the retries and requests counted so far. */
+    void setBounds(Forwarder.RetryBounds newBounds) {
+        bounds = newBounds;
+        budgets.clear();
+    }
+
+    void recordRequest(String service) {
+        budgetOf(service).recordRequest();
+    }
+
+    /**
+     * Takes a retry from the budget of a service; returns false if there is none.
+     *
+     * @param cause why the request is to be sent again
+     */
+    boolean tryAcquire(String service, String requestId, Attempt.Failure cause) {
+        EntryInstance instance = entryInstance;
+        int instances = instance == null ? 1 : instance.entryCount();
+        String source = instance == null ? "" : instance.entryCountSource();
+        long ageMillis = instance == null ? -1 : instance.entryCountAgeMillis();
+        SharedRetryBudget budget = budgetOf(service);
+        boolean allowed = budget.tryAcquire(instances);
+        log.event(
+                "retry.decided",
+                json -> {
+                    json.writeStringField("request", requestId);
+                    json.writeStringField("service", service);
+                    json.writeStringField("cause", cause.name());
+                    json.writeBooleanField("allowed", allowed);
+                    json.writeNumberField("requests", budget.requestCount());
+                    json.writeNumberField("retries", budget.retryCount());
+                    json.writeNumberField("instances", instances);
+                    json.writeStringField("from", source);
+                    json.writeNumberField("age", ageMillis);
+                    json.writeNumberField("uptime", timers.nowMillis() - startMillis);
+                });
+        return allowed;
+    }
+
+    private SharedRetryBudget budgetOf(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                name ->
+                        new SharedRetryBudget(
+                                timers, bounds.windowMillis(), bounds.ratio(), bounds.slack()));
+    }
+}
