--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -18,6 +18,7 @@
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StaleOriginGuard;
 import dev.jayturn.core.resumption.StreamOrigins;
+import dev.jayturn.core.retry.SharedRetryBudget;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceAccounts;
 import dev.jayturn.core.transport.Message;
@@ -41,6 +42,10 @@
     /** Time that a call waits for tokens before it is refused, as a caller's request does. */
     private static final long TOKEN_WAIT_MILLIS = 500;
 
+    static final long RETRY_WINDOW_MILLIS = 10_000;
+    static final double RETRY_RATIO = 0.2;
+    static final int RETRY_SLACK = 200;
+
     private static final int ENTRIES_PER_DATA_CENTRE = 2;
     private static final String ENTRY = "entry-";
     private static final String FOUNDER_STORE = "founder";
@@ -224,6 +229,7 @@
         final StaleOriginGuard originGuard;
         final UpstreamRegistry upstreams = new UpstreamRegistry(service -> 1_000);
         final Dispatcher dispatcher;
+        final SharedRetryBudget retryBudget;
         long configurationVersion;
         int documentsReceived;
         Predicate<ConfigurationDocument> unappliedDocuments = document -> false;
@@ -253,6 +259,8 @@
                             startedAt,
                             this);
             EvidenceTable evidence = new EvidenceTable();
+            retryBudget =
+                    new SharedRetryBudget(process, RETRY_WINDOW_MILLIS, RETRY_RATIO, RETRY_SLACK);
             quarantine = new Quarantine(process, evidence, NO_QUARANTINE_LISTENER);
             EvidenceSharing sharing =
                     new EvidenceSharing(
@@ -295,6 +303,11 @@
             }
         }
 
+        /** Takes a retry from the budget that this instance shares with the others. */
+        boolean tryRetry() {
+            return retryBudget.tryAcquire(instance.entryCount());
+        }
+
         /** Makes a call that reserves tokens and spends all of them. */
         void call(String customer, long tokens) {
             call(customer, tokens, tokens);
