Take a retry from the budget for a send after a misdirected response

Callers' operators saw more repeated arrivals at a service than the shared limit allows. A request whose upstream's address belongs to another one by now counted as not sent, and up to four more sends took nothing from the budget, though each upstream counts the arrival and rejects it. Cost: while the budget is used up, such a request is refused at once.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -376,7 +376,7 @@
             case MISDIRECTED:
                 failed.upstream().requestMisdirected(forwarder.timers().nowMillis());
                 history.onMisdirected();
-                retryOrFail(failure, history.tryRetryUnsent());
+                retryOrFail(failure, history.tryRetryUnsent() && tryAcquireRetry(failure));
                 break;
             case UNREACHABLE:
             case WITHDRAWN:
