Do not add a voter that is gone beside one that is gone

Each instance ran, and none led, for good: no change and no read was confirmed. A voter was gone for less than 1.5 s, so it was still counted; a successor was emptied right after it joined, and its two stores counted as two learners that had caught up, as a learner does for 0.5 s after its loss. Two learners make the number of voters grow, and the one that is gone came first: two of four voters were gone, and what needs three of four, also each membership change, never came. Learners are now counted by instance, an instance's newest store comes first, and voters are added beyond an odd number only if those that are connected are a majority without the new one.

--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/MembershipPolicy.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/MembershipPolicy.java
@@ -1,6 +1,12 @@
 package dev.jayturn.core.consensus;
 
+import dev.jayturn.core.transport.Addresses;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,7 +49,7 @@
         MemberSet members = new MemberSet(observations.stream().map(Observation::member).toList());
         boolean evenVoters = members.voterCount() % 2 == 0;
         Observation silent = mostSilentVoter(observations);
-        int caughtUpLearners = 0;
+        Set<String> caughtUpInstances = new HashSet<>();
         for (Observation learner : observations) {
             if (learner.member().voter()) {
                 continue;
@@ -54,20 +60,33 @@
             if (!learner.caughtUp()) {
                 continue;
             }
-            caughtUpLearners++;
+            caughtUpInstances.add(Addresses.instanceOf(learner.member().id()));
             // Removed first: until the learner votes, the others need the same majority as before.
             Member replaced = members.findReplacedVoter(learner.member().id());
             if (replaced != null) {
                 return members.without(replaced.id());
             }
         }
-        if (silent != null && (caughtUpLearners > 0 || evenVoters)) {
+        if (silent != null && (!caughtUpInstances.isEmpty() || evenVoters)) {
             return members.without(silent.member().id());
         }
-        boolean promotes = evenVoters || members.voterCount() < MIN_VOTERS || caughtUpLearners > 1;
+        boolean grows = caughtUpInstances.size() > 1 && keepsMajority(members, observations);
+        boolean promotes = evenVoters || members.voterCount() < MIN_VOTERS || grows;
         return promotes ? withPromotedLearner(members, observations) : null;
     }
 
+    /**
+     * Returns whether the voters that are connected are a majority even if the next voter is lost
+     * as soon as it is one. A learner counts as connected for a while after its loss.
+     */
+    private static boolean keepsMajority(MemberSet members, List<Observation> observations) {
+        long connected =
+                observations.stream()
+                        .filter(observed -> observed.member().voter() && observed.caughtUp())
+                        .count();
+        return connected > (members.voterCount() + 1) / 2;
+    }
+
     private @Nullable Observation mostSilentVoter(List<Observation> observations) {
         Observation most = null;
         for (Observation voter : observations) {
@@ -82,11 +101,14 @@
 
     private static @Nullable List<Member> withPromotedLearner(
             MemberSet members, List<Observation> observations) {
+        // The last learner of an instance has its newest store; those before are gone.
+        Map<String, Member> newest = new LinkedHashMap<>();
         for (Observation learner : observations) {
             if (!learner.member().voter() && learner.caughtUp()) {
-                return members.with(new Member(learner.member().id(), true));
+                newest.put(Addresses.instanceOf(learner.member().id()), learner.member());
             }
         }
-        return null;
+        Iterator<Member> first = newest.values().iterator();
+        return first.hasNext() ? members.with(new Member(first.next().id(), true)) : null;
     }
 }
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/EmptiedSuccessorTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/EmptiedSuccessorTest.java
@@ -8,13 +8,12 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * One of three control instances loses its disk or is replaced again and again, before it has caught
- * up; the two others run all the time, with syncs of 1 to 100 ms.
+ * One of three control instances loses its disk or is replaced again and again, before it has
+ * caught up; the two others run all the time, with syncs of 1 to 100 ms.
  */
 final class EmptiedSuccessorTest {
     private static final int SEEDS = 60;
@@ -69,7 +68,6 @@
     }
 
     /** Guards against a majority of voters that are gone, with which none can be elected. */
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("seeds")
     void twoInstancesThatRunAllTheTimeStayAMajority(long seed) {
