Check responses on the other path to upstreams as on the first

Callers of the chat path got a response as whole that consisted of two, or that had a malformed head, and a partial response that came together with a whole one stayed in the decoder and became the beginning of the next response on that connection. Cause: the package daemon/upstream had a decoder of its own, without any of the checks of the proxy path. Both now share UpstreamResponseDecoder, ResponseHeadCheck and EmbeddedHeadScanner, and a connection with bytes behind its response is closed. A trailer that holds a status line is refused here too.

Not covered here: a second head that begins in the last bytes of a body and arrives later than those.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamExchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamExchange.java
@@ -93,7 +93,9 @@
         }
         channel = connection;
         connection.config().setAutoRead(true);
-        connection.pipeline().addLast(new ResponseHandler());
+        UpstreamResponseDecoder decoder = connection.pipeline().get(UpstreamResponseDecoder.class);
+        decoder.onRequest(request.method());
+        connection.pipeline().addLast(new ResponseHandler(decoder));
         connection
                 .writeAndFlush(request)
                 .addListener(
@@ -147,7 +149,8 @@
         if (!finish()) {
             return;
         }
-        if (keepAlive) {
+        if (keepAlive && !handler.decoder.hasMoreBytes()) {
+            handler.decoder.onResponseEnd();
             connection.pipeline().remove(handler);
             pool.release(address, connection);
         } else {
@@ -157,11 +160,18 @@
     }
 
     private final class ResponseHandler extends ChannelInboundHandlerAdapter {
+        private final UpstreamResponseDecoder decoder;
+        private final EmbeddedHeadScanner bodyScanner =
+                new EmbeddedHeadScanner(REQUEST_ID_HEADER, requestId::equals);
         private boolean keepAlive = true;
         private boolean closeDelimited;
         private boolean awaitingReset;
         private boolean skippingInformational;
 
+        ResponseHandler(UpstreamResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (finished) {
@@ -190,6 +200,16 @@
                 content.release();
                 return;
             }
+            boolean embedded =
+                    bodyScanner.scan(content.content())
+                            || (last
+                                    && decoder.hasMoreBytes()
+                                    && bodyScanner.scanBehindBody(decoder.moreBytes()));
+            if (embedded || (last && isMergedTrailer(content))) {
+                content.release();
+                fail("the response holds the head of another one");
+                return;
+            }
             listener.onBody(content.content());
             if (!last) {
                 return;
@@ -207,6 +227,11 @@
             }
         }
 
+        private static boolean isMergedTrailer(HttpContent content) {
+            return content instanceof LastHttpContent end
+                    && ResponseHeadCheck.isMerged(end.trailingHeaders());
+        }
+
         private static boolean isEndOfInput(Channel connection) {
             return connection instanceof SocketChannel socket && socket.isInputShutdown();
         }
@@ -229,6 +254,11 @@
 
         /** Passes on a head; ends the exchange and returns false if its request id differs. */
         private boolean readHead(HttpResponse head) {
+            ResponseFault fault = ResponseHeadCheck.check(head);
+            if (fault != ResponseFault.NONE) {
+                fail("the response head is malformed: " + fault);
+                return false;
+            }
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 skippingInformational = true;
                 return true;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamPool.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/upstream/UpstreamPool.java
@@ -11,7 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -115,7 +115,9 @@
                         new ChannelInitializer<SocketChannel>() {
                             @Override
                             protected void initChannel(SocketChannel ch) {
-                                ch.pipeline().addLast(new HttpClientCodec());
+                                ch.pipeline()
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(new UpstreamResponseDecoder());
                             }
                         })
                 .connect(target);
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/upstream/UpstreamExchangeTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/upstream/UpstreamExchangeTest.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -229,7 +228,6 @@
     }
 
     /** Guards against a head that is malformed, or holds that of another response. */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -245,7 +243,6 @@
     }
 
     /** Guards against a body that is filled up with, or ended by, another response. */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(strings = {"", "Content-Length: 40\r\n"})
     void responseThatHoldsAnotherOneInItsBodyIsNotComplete(String framing) throws Exception {
@@ -255,7 +252,6 @@
     }
 
     /** Guards against the beginning of a response that is read as a part of the next one. */
-    @Tag("known-red")
     @Test
     void connectionWithBytesThatArriveWithItsResponseIsNotReused() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
