Divide the slack of retries by the largest number of instances of two windows

Callers' operators saw more repeated arrivals at a service than the shared limit allows. Cause: the slack was divided by the number of instances that had reported to whichever control instance answered, so 1 before the first update, and again after a cut, a start or a restart of control instances until the list of peers was stable; and a process that started had its predecessor's part anew. Now the leader names all that report, an instance remembers the largest number for two windows, uses none of the slack without a number for a window, and a tenth of its part in its first window. The format of the message is unchanged. Cost: hardly any slack for 10 s after a start, none while cut off for longer than a window.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -420,7 +420,7 @@
                 leader.isEmpty() ? "" : Addresses.instanceOf(leader),
                 controlAddresses(),
                 peersToSend(entry, now),
-                peers.size(),
+                Math.max(peers.size(), liveEntries().size()),
                 configuration.version(),
                 retired ? null : documentToSend(entry, configuration, now),
                 epoch,
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntConsumer;
 
 /**
  * An entry instance: reports to the control instances, applies their updates and holds the slices
@@ -72,7 +73,7 @@
     private final AppliedConfiguration configuration;
     private int entryCount = 1;
     private String entryCountSource = "";
-    private long entryCountMillis;
+    private IntConsumer entryCountListener = count -> {};
     private int knownPeersHash;
     private long lastReportMillis;
     private long ticks;
@@ -182,9 +183,9 @@
         return entryCountSource;
     }
 
-    /** Returns the time since the number of entry instances was named; -1 if it was not. */
-    public long entryCountAgeMillis() {
-        return entryCountSource.isEmpty() ? -1 : timers.nowMillis() - entryCountMillis;
+    /** Sets the listener that gets the number of entry instances from each update of the leader. */
+    public void setEntryCountListener(IntConsumer entryCountConsumer) {
+        entryCountListener = entryCountConsumer;
     }
 
     /**
@@ -338,7 +339,6 @@
             leaderKnown = true;
             entryCount = Math.max(1, update.entries());
             entryCountSource = update.from();
-            entryCountMillis = now;
         }
         List<Peer> peers = update.peers();
         if (peers != null) {
@@ -347,6 +347,7 @@
         }
         if (update.from().equals(update.leader())) {
             lastLeaderUpdateMillis = now;
+            entryCountListener.accept(entryCount);
             promisedAt = readClock();
             leaseCommitted |= update.leaseKept();
         }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
@@ -18,7 +18,7 @@
  * @param controls link addresses of all control instances
  * @param peers the live entry instances; sent by the leader only, and only if the entry instance
  *     knows a different list
- * @param entries number of live entry instances
+ * @param entries number of live entry instances, with those that are not in the stable list yet
  * @param version version of the configuration in force at the sender
  * @param document the configuration if the entry instance lacks it
  * @param tableEpoch epoch of the sender's upstream table, different after each restart
--- a/jayturn-core/src/main/java/dev/jayturn/core/retry/SharedRetryBudget.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/retry/SharedRetryBudget.java
@@ -8,6 +8,8 @@
  * Limits the retries of one instance to a service, so that the retries of all instances together
  * stay within a ratio of the requests in a sliding window plus a fixed number, the slack. Each
  * instance uses the ratio of its own requests and an equal part of the slack.
+ *
+ * <p>{@link InstanceCounts} tells who uses a part of the slack.
  */
 public final class SharedRetryBudget {
     /** Fraction of the limit that is used, since the windows of the instances are not aligned. */
@@ -36,13 +38,13 @@
     /**
      * Takes a retry from the budget; returns false if there is none.
      *
-     * @param instances number of instances that share the slack
+     * @param instances what the slack is divided by; 0 if it may not be used
      */
     public boolean tryAcquire(int instances) {
         expire(requestMillis);
         expire(retryMillis);
-        double maxRetries =
-                SAFETY_FACTOR * (ratio * requestMillis.size() + slack / Math.max(1, instances));
+        double slackPart = instances > 0 ? slack / instances : 0;
+        double maxRetries = SAFETY_FACTOR * (ratio * requestMillis.size() + slackPart);
         if (retryMillis.size() + 1 > maxRetries) {
             return false;
         }
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/RetriesOfAllInstancesTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/RetriesOfAllInstancesTest.java
@@ -133,7 +133,6 @@
 
     @ParameterizedTest
     @ValueSource(ints = {6, 30, 100})
-    @Tag("known-red")
     void instancesWithoutAnUpdateYetShareTheSlack(int entries) {
         startFleet(entries);
         fleet.controls.values().forEach(control -> control.process.crash());
@@ -145,7 +144,6 @@
 
     @ParameterizedTest
     @CsvSource({"6, 1", "6, 15", "6, 30", "30, 1", "30, 15", "30, 30", "100, 1", "100, 30"})
-    @Tag("known-red")
     void restartOfAllControlInstancesGivesNoOneAWholeSlack(int entries, int seconds) {
         startCalmFleet(entries);
         crashControls((long) seconds * MILLIS_PER_SECOND);
@@ -155,7 +153,6 @@
 
     @ParameterizedTest
     @CsvSource({"6, 1", "6, 2", "30, 1", "30, 2", "100, 1", "100, 2"})
-    @Tag("known-red")
     void restartedInstancesDoNotRepeatTheirPartOfTheSlack(int entries, int restarts) {
         startCalmFleet(entries);
         for (int i = 0; i < restarts; i++) {
@@ -168,7 +165,6 @@
 
     @ParameterizedTest
     @ValueSource(ints = {6, 30, 100})
-    @Tag("known-red")
     void instancesThatRestartInTurnDoNotRepeatTheirPartOfTheSlack(int entries) {
         startCalmFleet(entries);
         for (int round = 0; round < 2; round++) {
@@ -181,13 +177,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = {6, 30, 100})
-    @Tag("known-red")
-    void lossOfAllMachinesDoesNotRepeatTheSlack(int entries) {
+    @CsvSource({"6, 1", "6, 2", "30, 1", "30, 2", "100, 1", "100, 2"})
+    void lossOfAllMachinesDoesNotRepeatTheSlack(int entries, int losses) {
         startCalmFleet(entries);
-        fleet.controls.values().forEach(control -> control.process.crash());
-        crashEntries(running(), MILLIS_PER_SECOND);
-        fleet.controls.values().forEach(VirtualControl::restart);
+        for (int i = 0; i < losses; i++) {
+            fleet.controls.values().forEach(control -> control.process.crash());
+            crashEntries(running(), MILLIS_PER_SECOND);
+            fleet.controls.values().forEach(VirtualControl::restart);
+            fleet.time.runFor(3 * MILLIS_PER_SECOND);
+        }
         fleet.time.runFor(LONG_MILLIS);
         assertRetriesStayWithinTheLimit();
     }
@@ -207,7 +205,6 @@
         "100, 99, 30",
         "100, 100, 8"
     })
-    @Tag("known-red")
     void instancesThatAreCutOffAndTheOthersShareTheSlack(int entries, int cut, int seconds) {
         startCalmFleet(entries);
         isolate(first(cut));
@@ -219,7 +216,6 @@
 
     @ParameterizedTest
     @ValueSource(ints = {6, 30, 100})
-    @Tag("known-red")
     void instancesThatAreCutOffInTurnAndTheOthersShareTheSlack(int entries) {
         startCalmFleet(entries);
         for (int cut = 1; cut < entries; cut++) {
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -18,6 +18,7 @@
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StaleOriginGuard;
 import dev.jayturn.core.resumption.StreamOrigins;
+import dev.jayturn.core.retry.InstanceCounts;
 import dev.jayturn.core.retry.SharedRetryBudget;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceAccounts;
@@ -230,6 +231,7 @@
         final UpstreamRegistry upstreams = new UpstreamRegistry(service -> 1_000);
         final Dispatcher dispatcher;
         final SharedRetryBudget retryBudget;
+        final InstanceCounts instanceCounts;
         long configurationVersion;
         int documentsReceived;
         Predicate<ConfigurationDocument> unappliedDocuments = document -> false;
@@ -259,6 +261,8 @@
                             startedAt,
                             this);
             EvidenceTable evidence = new EvidenceTable();
+            instanceCounts = new InstanceCounts(process, RETRY_WINDOW_MILLIS);
+            instance.setEntryCountListener(instanceCounts::record);
             retryBudget =
                     new SharedRetryBudget(process, RETRY_WINDOW_MILLIS, RETRY_RATIO, RETRY_SLACK);
             quarantine = new Quarantine(process, evidence, NO_QUARANTINE_LISTENER);
@@ -305,7 +309,7 @@
 
         /** Takes a retry from the budget that this instance shares with the others. */
         boolean tryRetry() {
-            return retryBudget.tryAcquire(instance.entryCount());
+            return retryBudget.tryAcquire(instanceCounts.divisor());
         }
 
         /** Makes a call that reserves tokens and spends all of them. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServiceRetryBudgets.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ServiceRetryBudgets.java
@@ -1,6 +1,7 @@
 package dev.jayturn.daemon.proxy;
 
 import dev.jayturn.core.fleet.EntryInstance;
+import dev.jayturn.core.retry.InstanceCounts;
 import dev.jayturn.core.retry.SharedRetryBudget;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.daemon.eventlog.EventLog;
@@ -15,6 +16,7 @@
     private final long startMillis;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
     private Forwarder.RetryBounds bounds;
+    private InstanceCounts instanceCounts;
     private @Nullable EntryInstance entryInstance;
 
     ServiceRetryBudgets(TimerService timers, EventLog log, Forwarder.RetryBounds bounds) {
@@ -22,16 +24,22 @@
         this.log = log;
         this.bounds = bounds;
         this.startMillis = timers.nowMillis();
+        this.instanceCounts = new InstanceCounts(timers, bounds.windowMillis());
     }
 
     void setEntryInstance(EntryInstance instance) {
         entryInstance = instance;
+        instance.setEntryCountListener(count -> instanceCounts.record(count));
     }
 
-    /** Replaces the limits on retries, and forgets the retries and requests counted so far. */
+    /**
+     * Replaces the limits on retries, and forgets the retries and requests counted so far. The
+     * slack is used again after a window, as by an instance that has started.
+     */
     void setBounds(Forwarder.RetryBounds newBounds) {
         bounds = newBounds;
         budgets.clear();
+        instanceCounts = new InstanceCounts(timers, newBounds.windowMillis());
     }
 
     void recordRequest(String service) {
@@ -45,9 +53,8 @@
      */
     boolean tryAcquire(String service, String requestId, Attempt.Failure cause) {
         EntryInstance instance = entryInstance;
-        int instances = instance == null ? 1 : instance.entryCount();
         String source = instance == null ? "" : instance.entryCountSource();
-        long ageMillis = instance == null ? -1 : instance.entryCountAgeMillis();
+        int instances = instanceCounts.divisor();
         SharedRetryBudget budget = budgetOf(service);
         boolean allowed = budget.tryAcquire(instances);
         log.event(
@@ -61,7 +68,7 @@
                     json.writeNumberField("retries", budget.retryCount());
                     json.writeNumberField("instances", instances);
                     json.writeStringField("from", source);
-                    json.writeNumberField("age", ageMillis);
+                    json.writeNumberField("age", instanceCounts.ageMillis());
                     json.writeNumberField("uptime", timers.nowMillis() - startMillis);
                 });
         return allowed;
