Use half of the limit on retries, as one window holds what two allowed

Callers' operators saw more repeated arrivals than the shared limit allows. The factor 0.6 was to cover windows that are not aligned. Half of the limit bounds the sum of two. Cost: a sixth of all retries.

--- a/jayturn-core/src/main/java/dev/jayturn/core/retry/SharedRetryBudget.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/retry/SharedRetryBudget.java
@@ -9,11 +9,16 @@
  * stay within a ratio of the requests in a sliding window plus a fixed number, the slack. Each
  * instance uses the ratio of its own requests and an equal part of the slack.
  *
- * <p>{@link InstanceCounts} tells who uses a part of the slack.
+ * <p>Load pattern: all upstreams fail, and callers move from some instances to others, so that one
+ * window holds retries for the requests of two. {@link InstanceCounts} tells who uses a part of the
+ * slack.
  */
 public final class SharedRetryBudget {
-    /** Fraction of the limit that is used, since the windows of the instances are not aligned. */
-    private static final double SAFETY_FACTOR = 0.6;
+    /**
+     * Fraction of the limit that is used. The windows of the instances are not aligned: one window
+     * of all may hold what was allowed in two, and parts of the slack by two counts.
+     */
+    private static final double SAFETY_FACTOR = 0.5;
 
     private final TimerService timers;
     private final long windowMillis;
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/RetriesOfAllInstancesTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/RetriesOfAllInstancesTest.java
@@ -6,7 +6,6 @@
 import dev.jayturn.core.fleet.VirtualFleet.VirtualEntry;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -230,7 +229,6 @@
 
     @ParameterizedTest
     @CsvSource({"6, false", "6, true", "30, false", "30, true", "100, false", "100, true"})
-    @Tag("known-red")
     void instancesThatAreAddedOneByOneShareTheSlack(int entries, boolean cutOthersOff) {
         int first = entries / 6;
         startCalmFleet(first);
--- a/jayturn-core/src/test/java/dev/jayturn/core/retry/SharedRetryBudgetTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/retry/SharedRetryBudgetTest.java
@@ -37,6 +37,27 @@
         assertThat(acquireAll(1_000_000)).isBetween(100, 200);
     }
 
+    @Test
+    void retriesOfCallersThatMoveToAnotherInstanceStayWithinTheRatio() {
+        SharedRetryBudget other = new SharedRetryBudget(process, WINDOW_MILLIS, 0.2, 50);
+        int retries = 0;
+        for (int i = 0; i < 1_000; i++) {
+            budget.recordRequest();
+        }
+        time.runFor(WINDOW_MILLIS);
+        while (budget.tryAcquire(0)) {
+            retries++;
+        }
+        for (int i = 0; i < 1_000; i++) {
+            other.recordRequest();
+        }
+        time.runFor(WINDOW_MILLIS);
+        while (other.tryAcquire(0)) {
+            retries++;
+        }
+        assertThat(retries).isBetween(1, 200);
+    }
+
     @Test
     void retriesOlderThanTheWindowDoNotCount() {
         int firstWindow = acquireAll(1);
