Refuse trailers that hold the head of another response

Callers got a 200 in chunks as whole though its upstream had broken off inside a trailer: the status line of the 500 that followed was read as the value of the trailer, and its headers as more trailers. Values of trailers were not looked at. They are now checked like those of a head, and the response is aborted.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -334,6 +334,11 @@
         if (responseListener == null || !headReceived) {
             return;
         }
+        if (content instanceof LastHttpContent end
+                && ResponseHeadCheck.isMerged(end.trailingHeaders())) {
+            fail(ResponseFault.MERGED_HEAD);
+            return;
+        }
         if (bodyScanner.scan(content.content()) || (last && continuesInMoreBytes())) {
             fail(ResponseFault.EMBEDDED_HEAD);
             return;
