Let a member that lost its log join again before it votes

Since a leader lowered the index that it counts on for such a member and sent it its log again. While that was on its way the member was a voter that had a part of what it had acknowledged, and had forgotten its vote: with the leader gone, it could have elected an instance that lacks a confirmed change (found by the review, by reading). The leader now removes the member; it joins again as a learner and votes when it has everything. What it once acknowledged is not taken back, so a late reply changes nothing.

--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
@@ -323,6 +323,7 @@
         if (reply.nextOffset() > peer.snapshotSize) {
             peer.snapshotOffset = -1;
             peer.matchIndex = Math.max(peer.matchIndex, reply.index());
+            peer.matchRound = round;
             peer.nextIndex = reply.index() + 1;
             sendEntries(reply.from(), peer);
             return;
@@ -334,19 +335,21 @@
     void onAppendReply(AppendReply reply) {
         Progress peer = progress(reply.from());
         peer.lastReplyMillis = timers.nowMillis();
-        boolean late = reply.round() < peer.ackedRound;
         peer.ackedRound = Math.max(peer.ackedRound, reply.round());
         if (reply.success()) {
             peer.matchIndex = Math.max(peer.matchIndex, reply.index());
+            peer.matchRound = Math.max(peer.matchRound, reply.round());
             peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
             advanceCommitIndex();
             if (peer.nextIndex <= log.lastIndex() && !peer.isInstallingSnapshot()) {
                 sendEntries(reply.from(), peer);
             }
         } else if (!peer.isInstallingSnapshot()) {
-            if (!late && reply.index() < peer.matchIndex) {
-                // The member has lost entries that it had acknowledged; they no longer count.
-                peer.matchIndex = reply.index();
+            if (reply.index() < peer.matchIndex && reply.round() > peer.matchRound) {
+                // The member has lost what it had acknowledged, and may have lost its vote. It
+                // joins again as a learner, and votes when it has everything.
+                changeMembers(node.memberSet().without(reply.from()));
+                return;
             }
             long hint = Math.max(reply.index(), peer.matchIndex);
             peer.nextIndex = Math.min(peer.nextIndex, hint + 1);
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Progress.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Progress.java
@@ -5,6 +5,9 @@
     long nextIndex;
     long matchIndex;
 
+    /** Round of the last append or snapshot that the member has acknowledged. */
+    long matchRound;
+
     /** Time of the last reply, or of the creation if there was none. */
     long lastReplyMillis;
 
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/LostLogFleetTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/LostLogFleetTest.java
@@ -17,6 +17,9 @@
     private static final int CHANGES = 5;
     private static final long SETTLE_MILLIS = 3_000;
 
+    private static final int LONG_DOCUMENT_BYTES = 200 * 1_024;
+    private static final int STEP_MILLIS = 5;
+
     private VirtualFleet fleet;
     private long sentVersion;
     private long confirmedVersion;
@@ -27,9 +30,15 @@
 
     /** Sends a change through an instance and returns whether it is confirmed within 3 s. */
     private boolean change(VirtualControl control) {
+        return change(control, 1);
+    }
+
+    private boolean change(VirtualControl control, int bytes) {
         long version = ++sentVersion;
+        byte[] document = new byte[bytes];
+        document[0] = (byte) version;
         control.instance.put(
-                new PutConfiguration(version, new byte[] {(byte) version}, Map.of()),
+                new PutConfiguration(version, document, Map.of()),
                 new ConfigurationCallback() {
                     @Override
                     public void onConfirmed(ConfigurationDocument document) {
@@ -76,4 +85,35 @@
         other.process.crash();
         assertThat(change(leader())).as("change after the loss of another instance").isTrue();
     }
+
+    /** Guards against a vote of a member that has only a part of what it had acknowledged. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void confirmedChangesOutliveALostLogAndTheLeader(long seed) {
+        fleet = new VirtualFleet(seed, 3, 0);
+        fleet.time.runFor(SETTLE_MILLIS);
+        VirtualControl leader = leader();
+        VirtualControl emptied = followers().get(0);
+        VirtualControl behind = followers().get(1);
+        fleet.network.isolate(behind.name);
+        for (int i = 0; i < CHANGES; i++) {
+            assertThat(change(leader, LONG_DOCUMENT_BYTES)).isTrue();
+        }
+        long confirmed = confirmedVersion;
+        emptied.process.crash();
+        emptied.disk = new VirtualDisk(fleet.time);
+        emptied.restart();
+        fleet.time.runFor(seed * STEP_MILLIS);
+        leader.process.crash();
+        fleet.network.heal();
+        fleet.time.runFor(SETTLE_MILLIS);
+        for (VirtualControl control : List.of(emptied, behind)) {
+            change(control, LONG_DOCUMENT_BYTES);
+            assertThat(
+                            control.raft.isLeader()
+                                    && control.state.configuration().version() < confirmed)
+                    .as("leads without the confirmed version %d", confirmed)
+                    .isFalse();
+        }
+    }
 }
