--- a/jayturn-core/src/main/java/dev/jayturn/core/limits/LinkLimiter.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/limits/LinkLimiter.java
@@ -1,6 +1,7 @@
 package dev.jayturn.core.limits;
 
 import dev.jayturn.core.timer.TimerService;
+import java.util.Arrays;
 
 /**
  * Measures the load of an instance's own network link over a sliding window, and admits new
@@ -37,8 +38,9 @@
 
     private final TimerService timers;
     private final double windowCapacityBytes;
-    private final long[] receivedBytes = new long[WINDOW_SLOTS];
-    private final long[] sentBytes = new long[WINDOW_SLOTS];
+    // By the ordinal of the peer and the slot.
+    private final long[][] receivedBytes = new long[LinkPeer.values().length][WINDOW_SLOTS];
+    private final long[][] sentBytes = new long[LinkPeer.values().length][WINDOW_SLOTS];
     private long currentSlot;
 
     /**
@@ -58,16 +60,16 @@
         this.currentSlot = timers.nowMillis() / SLOT_MILLIS;
     }
 
-    /** Records bytes received. */
-    public void recordReceived(long bytes) {
+    /** Records bytes received from a kind of peer. */
+    public void recordReceived(LinkPeer peer, long bytes) {
         advanceWindow();
-        receivedBytes[(int) (currentSlot % WINDOW_SLOTS)] += bytes;
+        receivedBytes[peer.ordinal()][(int) (currentSlot % WINDOW_SLOTS)] += bytes;
     }
 
-    /** Records bytes sent. */
-    public void recordSent(long bytes) {
+    /** Records bytes sent to a kind of peer. */
+    public void recordSent(LinkPeer peer, long bytes) {
         advanceWindow();
-        sentBytes[(int) (currentSlot % WINDOW_SLOTS)] += bytes;
+        sentBytes[peer.ordinal()][(int) (currentSlot % WINDOW_SLOTS)] += bytes;
     }
 
     /**
@@ -91,14 +93,19 @@
         return usedShare(receivedBytes);
     }
 
-    private double usedShare(long[] bytesBySlot) {
+    /** Returns the share of the receiving capacity that one kind of peer uses. */
+    public double receivedShare(LinkPeer peer) {
+        return usedShare(receivedBytes[peer.ordinal()]);
+    }
+
+    private double usedShare(long[]... bytesByPeer) {
         if (windowCapacityBytes == 0) {
             return 0;
         }
         advanceWindow();
         long bytes = 0;
-        for (long slotBytes : bytesBySlot) {
-            bytes += slotBytes;
+        for (long[] bytesBySlot : bytesByPeer) {
+            bytes += Arrays.stream(bytesBySlot).sum();
         }
         return bytes / windowCapacityBytes;
     }
@@ -108,8 +115,10 @@
         for (long next = Math.max(currentSlot + 1, nowSlot - WINDOW_SLOTS + 1);
                 next <= nowSlot;
                 next++) {
-            receivedBytes[(int) (next % WINDOW_SLOTS)] = 0;
-            sentBytes[(int) (next % WINDOW_SLOTS)] = 0;
+            for (LinkPeer peer : LinkPeer.values()) {
+                receivedBytes[peer.ordinal()][(int) (next % WINDOW_SLOTS)] = 0;
+                sentBytes[peer.ordinal()][(int) (next % WINDOW_SLOTS)] = 0;
+            }
         }
         currentSlot = Math.max(currentSlot, nowSlot);
     }
--- a/jayturn-core/src/test/java/dev/jayturn/core/limits/LinkLimiterTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/limits/LinkLimiterTest.java
@@ -25,30 +25,30 @@
     private int admitted;
     private int refused;
 
-    private void send(long bytes) {
-        link.recordSent(bytes);
+    private void send(LinkPeer peer, long bytes) {
+        link.recordSent(peer, bytes);
         sentBytes += bytes;
     }
 
-    private void receive(long bytes) {
-        link.recordReceived(bytes);
+    private void receive(LinkPeer peer, long bytes) {
+        link.recordReceived(peer, bytes);
         receivedBytes += bytes;
     }
 
     private void sendRequest() {
-        receive(BODY_BYTES);
+        receive(LinkPeer.CALLER, BODY_BYTES);
         if (!link.hasCapacity(true)) {
             refused++;
             return;
         }
         admitted++;
-        send(BODY_BYTES);
+        send(LinkPeer.UPSTREAM, BODY_BYTES);
         for (int i = 1; i <= EVENTS_PER_REQUEST; i++) {
             time.schedule(
                     i * EVENT_INTERVAL_MILLIS,
                     () -> {
-                        receive(EVENT_BYTES);
-                        send(EVENT_BYTES);
+                        receive(LinkPeer.UPSTREAM, EVENT_BYTES);
+                        send(LinkPeer.CALLER, EVENT_BYTES);
                     });
         }
     }
@@ -80,7 +80,7 @@
 
     @Test
     void capacityIsFreeAgainWithinHalfASecond() {
-        send(BYTES_PER_SECOND);
+        send(LinkPeer.CALLER, BYTES_PER_SECOND);
         assertThat(link.hasCapacity(false)).isFalse();
         time.runFor(500);
         assertThat(link.hasCapacity(true)).isTrue();
@@ -88,7 +88,7 @@
 
     @Test
     void shortRequestsAreAdmittedAtHigherLoad() {
-        send((long) (0.85 * 0.4 * BYTES_PER_SECOND));
+        send(LinkPeer.CALLER, (long) (0.85 * 0.4 * BYTES_PER_SECOND));
         assertThat(link.hasCapacity(true)).isFalse();
         assertThat(link.hasCapacity(false)).isTrue();
     }
@@ -96,7 +96,7 @@
     @Test
     void linkOfUnknownSpeedAlwaysHasCapacity() {
         LinkLimiter unknown = new LinkLimiter(process, 0);
-        unknown.recordSent(Integer.MAX_VALUE);
+        unknown.recordSent(LinkPeer.CALLER, Integer.MAX_VALUE);
         assertThat(unknown.hasCapacity(true)).isTrue();
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -15,6 +15,7 @@
 import dev.jayturn.core.fleet.FleetState;
 import dev.jayturn.core.fleet.PutConfiguration;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.limits.LinkPeer;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceLease;
@@ -119,7 +120,7 @@
                         timers,
                         metrics,
                         // Capacity 0 means unknown; the limiter then admits every request.
-                        new LinkMeter(new LinkLimiter(timers, 0)),
+                        new LinkMeter(new LinkLimiter(timers, 0), LinkPeer.INSTANCE),
                         log,
                         this::onMessage);
         Path folder = Path.of(settings.text(SettingKey.FLEET_DATA_FOLDER));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -16,6 +16,7 @@
 import dev.jayturn.core.fleet.FleetListener;
 import dev.jayturn.core.fleet.Peer;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.limits.LinkPeer;
 import dev.jayturn.core.quarantine.EvidenceShare;
 import dev.jayturn.core.quarantine.EvidenceSharing;
 import dev.jayturn.core.quarantine.EvidenceTable;
@@ -31,6 +32,7 @@
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.link.EventLoopTimers;
+import dev.jayturn.daemon.link.LinkMeter;
 import dev.jayturn.daemon.link.LinkTransport;
 import dev.jayturn.daemon.link.ServerSockets;
 import dev.jayturn.daemon.loop.LoopDelayMeter;
@@ -156,7 +158,13 @@
         String self = FleetSettings.linkAddress(settings);
         LinkTransport transport =
                 new LinkTransport(
-                        self, loop, timers, metrics, forwarder.linkMeter(), log, this::onMessage);
+                        self,
+                        loop,
+                        timers,
+                        metrics,
+                        new LinkMeter(linkLimiter, LinkPeer.INSTANCE),
+                        log,
+                        this::onMessage);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         EntryInstance entry =
                 new EntryInstance(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -127,7 +127,7 @@
         }
         boolean isStream = request.profile().promptTokens() > 0;
         if (!forwarder.linkLimiter().hasCapacity(isStream)) {
-            log.logLinkFull(forwarder.linkLimiter());
+            log.logLinkFull(forwarder.linkLimiter(), customer, body.readableBytes());
             refuse(ResultCode.LINK_FULL, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
             return;
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -4,6 +4,7 @@
 import dev.jayturn.core.dispatch.RequestProfile;
 import dev.jayturn.core.dispatch.UpstreamLoad;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.limits.LinkPeer;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StreamOrigin;
 import dev.jayturn.core.slice.SliceView;
@@ -89,13 +90,19 @@
                 });
     }
 
-    void logLinkFull(LinkLimiter limiter) {
+    void logLinkFull(LinkLimiter limiter, String customer, int bodyBytes) {
         log.event(
                 "link.full",
                 json -> {
                     json.writeStringField("request", requestId);
+                    json.writeStringField("customer", customer);
+                    json.writeNumberField("body", bodyBytes);
                     json.writeNumberField("sentShare", limiter.sentShare());
                     json.writeNumberField("receivedShare", limiter.receivedShare());
+                    json.writeNumberField(
+                            "receivedFromCallers", limiter.receivedShare(LinkPeer.CALLER));
+                    json.writeNumberField(
+                            "receivedFromUpstreams", limiter.receivedShare(LinkPeer.UPSTREAM));
                 });
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -14,6 +14,7 @@
 import dev.jayturn.core.drain.DrainAdmission;
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.limits.LinkPeer;
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
@@ -43,7 +44,7 @@
     private final EventLog log;
     private final FleetMetrics metrics;
     private final LinkLimiter linkLimiter;
-    private final LinkMeter linkMeter;
+    private final LinkMeter callerLinkMeter;
     private final UpstreamRegistry upstreams;
     private final Dispatcher dispatcher;
     private final UpstreamConnectionPools pools;
@@ -94,10 +95,11 @@
         this.log = log;
         this.metrics = metrics;
         this.linkLimiter = linkLimiter;
-        this.linkMeter = new LinkMeter(linkLimiter);
+        this.callerLinkMeter = new LinkMeter(linkLimiter, LinkPeer.CALLER);
         this.upstreams = upstreams;
         this.dispatcher = dispatcher;
-        this.pools = new UpstreamConnectionPools(loop, timers, codec, linkMeter, source);
+        LinkMeter upstreamLinkMeter = new LinkMeter(linkLimiter, LinkPeer.UPSTREAM);
+        this.pools = new UpstreamConnectionPools(loop, timers, codec, upstreamLinkMeter, source);
         this.quarantine = quarantine;
         this.retryBudgets = new ServiceRetryBudgets(timers, log, retryBounds);
         this.bodyMemory = new BodyMemory(timers, log, metrics);
@@ -264,9 +266,9 @@
         return linkLimiter;
     }
 
-    /** Returns the handler that counts the bytes of all connections of this instance. */
-    public LinkMeter linkMeter() {
-        return linkMeter;
+    /** Returns the handler that counts the bytes of the connections of callers. */
+    LinkMeter callerLinkMeter() {
+        return callerLinkMeter;
     }
 
     UpstreamRegistry upstreams() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -61,7 +61,7 @@
                         new WriteBufferWaterMark(
                                 WRITE_LOW_WATER_MARK_BYTES, WRITE_HIGH_WATER_MARK_BYTES));
         channel.pipeline()
-                .addLast(forwarder.linkMeter())
+                .addLast(forwarder.callerLinkMeter())
                 .addLast(
                         new HttpServerCodec(
                                 new HttpDecoderConfig()
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/link/LinkTransportTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/link/LinkTransportTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import dev.jayturn.core.consensus.JoinRequest;
 import dev.jayturn.core.limits.LinkLimiter;
+import dev.jayturn.core.limits.LinkPeer;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
 import dev.jayturn.daemon.metrics.FleetMetrics;
@@ -65,7 +66,9 @@
                                                 loop,
                                                 timers,
                                                 metrics,
-                                                new LinkMeter(new LinkLimiter(timers, 0)),
+                                                new LinkMeter(
+                                                        new LinkLimiter(timers, 0),
+                                                        LinkPeer.INSTANCE),
                                                 log,
                                                 this::receive)
                                         .listen(address))
