--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
@@ -7,6 +7,7 @@
 import dev.jayturn.core.transport.Transport;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * Forwards the operators' calls that this control instance receives to the leader and, on the
@@ -23,6 +24,7 @@
     private final FleetState state;
     private final Transport transport;
     private final TimerService timers;
+    private final Consumer<Map<String, Long>> budgetListener;
     private final Map<Long, PendingCall> pending = new HashMap<>();
     private ConfigurationListener listener = ConfigurationListener.NONE;
     private long lastId;
@@ -46,6 +48,8 @@
      *
      * @param epoch differs after each restart of the process. The calls are numbered from it, so
      *     that a late answer to a call of a former process answers none of this one.
+     * @param budgetListener gets the prepaid tokens of each configuration that this instance, as
+     *     the leader, has just proposed
      */
     ConfigurationCallHandler(
             String self,
@@ -53,12 +57,14 @@
             RaftNode raft,
             FleetState state,
             Transport transport,
-            TimerService timers) {
+            TimerService timers,
+            Consumer<Map<String, Long>> budgetListener) {
         this.self = self;
         this.raft = raft;
         this.state = state;
         this.transport = transport;
         this.timers = timers;
+        this.budgetListener = budgetListener;
         this.lastId = epoch << Integer.SIZE;
     }
 
@@ -128,6 +134,7 @@
                         sendAnswer(call, false);
                     }
                 });
+        budgetListener.accept(call.prepaid());
     }
 
     private void sendAnswer(ConfigurationCall call, boolean sure) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -132,7 +132,14 @@
         this.timers = timers;
         this.sliceCoordinator = new SliceCoordinator(raft, state, retirementListener);
         this.configurationCalls =
-                new ConfigurationCallHandler(self, epoch, raft, state, transport, timers);
+                new ConfigurationCallHandler(
+                        self,
+                        epoch,
+                        raft,
+                        state,
+                        transport,
+                        timers,
+                        prepaid -> sliceCoordinator.issueGrowth(prepaid, liveEntries(), peers));
         this.evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, this::liveInstances);
         this.rateSharing =
@@ -292,17 +299,12 @@
             candidatesSinceMillis = now;
         }
         long wait = peers.isEmpty() ? FIRST_PEERS_STABLE_MILLIS : PEERS_STABLE_MILLIS;
-        if (now - candidatesSinceMillis >= wait || addresses(live).equals(addresses(peers))) {
+        if (now - candidatesSinceMillis >= wait
+                || Peer.addresses(live).equals(Peer.addresses(peers))) {
             peers = candidatePeers;
         }
     }
 
-    private static List<String> addresses(List<Peer> peers) {
-        List<String> addresses = new ArrayList<>();
-        peers.forEach(peer -> addresses.add(peer.address()));
-        return addresses;
-    }
-
     private boolean isLive(EntryInstanceState entry) {
         return timers.nowMillis() - entry.lastReportMillis < ENTRY_TIMEOUT_MILLIS;
     }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/SliceCoordinator.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/SliceCoordinator.java
@@ -4,6 +4,7 @@
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.slice.SliceChange;
 import dev.jayturn.core.slice.SliceGrant;
+import dev.jayturn.core.slice.SliceIssue;
 import dev.jayturn.core.slice.SliceLease;
 import dev.jayturn.core.slice.SlicePlanner;
 import dev.jayturn.core.slice.SliceRetirement;
@@ -75,10 +76,7 @@
         }
         SliceTable table = state.slices();
         List<SliceReturn> returns = new ArrayList<>();
-        List<SlicePlanner.Holder> issueTargets = new ArrayList<>();
         List<SlicePlanner.Holder> liveHolders = new ArrayList<>();
-        Set<String> stableHolders = new HashSet<>();
-        stablePeers.forEach(peer -> stableHolders.add(peer.holder()));
         for (EntryInstanceState entry : live) {
             for (SliceStatus status : entry.sliceStatuses.values()) {
                 SliceTotals totals = table.totals(entry.holder, status.customer());
@@ -87,16 +85,11 @@
                             new SliceReturn(entry.holder, status.customer(), status.returned()));
                 }
             }
-            SlicePlanner.Holder holder =
-                    new SlicePlanner.Holder(entry.holder, entry.dataCentre, entry.sliceStatuses);
             // Includes holders that get no tokens: the change that renews a lease has to raise its
             // marks, too, since they have to cover what was drawn when the promise was made.
-            liveHolders.add(holder);
-            if (!entry.leaving && stableHolders.contains(entry.holder)) {
-                issueTargets.add(holder);
-            }
+            liveHolders.add(toHolder(entry));
         }
-        SlicePlanner.Plan plan = SlicePlanner.plan(table, issueTargets);
+        SlicePlanner.Plan plan = SlicePlanner.plan(table, issueTargets(live, stablePeers));
         for (EntryInstanceState entry : entries.values()) {
             entry.recalls = plan.recallsByHolder().getOrDefault(entry.holder, Map.of());
         }
@@ -112,6 +105,39 @@
         }
     }
 
+    /**
+     * Proposes the issues for budgets that the configuration proposed just before this call raises.
+     * Both reach the log together, so that no entry instance learns of a budget without its share:
+     * a partition right after the change would leave it unspendable until the partition ends.
+     */
+    void issueGrowth(
+            Map<String, Long> prepaid, List<EntryInstanceState> live, List<Peer> stablePeers) {
+        List<SliceIssue> issues =
+                SlicePlanner.planGrowth(state.slices(), prepaid, issueTargets(live, stablePeers));
+        if (!issues.isEmpty()) {
+            raft.propose(
+                    new SliceChange(List.of(), List.of(), List.of(), List.of(), issues),
+                    ProposalCallback.IGNORED);
+        }
+    }
+
+    private static SlicePlanner.Holder toHolder(EntryInstanceState entry) {
+        return new SlicePlanner.Holder(entry.holder, entry.dataCentre, entry.sliceStatuses);
+    }
+
+    private static List<SlicePlanner.Holder> issueTargets(
+            List<EntryInstanceState> live, List<Peer> stablePeers) {
+        Set<String> stableHolders = new HashSet<>();
+        stablePeers.forEach(peer -> stableHolders.add(peer.holder()));
+        List<SlicePlanner.Holder> targets = new ArrayList<>();
+        for (EntryInstanceState entry : live) {
+            if (!entry.leaving && stableHolders.contains(entry.holder)) {
+                targets.add(toHolder(entry));
+            }
+        }
+        return targets;
+    }
+
     private void updateRemaining(Map<String, EntryInstanceState> entries, long nowMillis) {
         if (nowMillis - estimatedAtMillis < ESTIMATE_INTERVAL_MILLIS) {
             return;
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -95,13 +95,33 @@
     public static Plan plan(SliceTable table, List<Holder> holders) {
         Plan plan = new Plan(new ArrayList<>(), new HashMap<>());
         if (!holders.isEmpty()) {
-            for (String customer : table.prepaid().keySet()) {
-                planCustomer(table, customer, holders, plan);
-            }
+            table.prepaid()
+                    .forEach(
+                            (customer, tokens) ->
+                                    planCustomer(table, customer, tokens, holders, plan));
         }
         return plan;
     }
 
+    /**
+     * Plans the issues for budgets that are about to grow, the first budget of a customer included.
+     *
+     * @param prepaid prepaid tokens of all customers after the change
+     */
+    public static List<SliceIssue> planGrowth(
+            SliceTable table, Map<String, Long> prepaid, List<Holder> holders) {
+        Plan plan = new Plan(new ArrayList<>(), new HashMap<>());
+        if (!holders.isEmpty()) {
+            prepaid.forEach(
+                    (customer, tokens) -> {
+                        if (tokens > table.prepaid().getOrDefault(customer, 0L)) {
+                            planCustomer(table, customer, tokens, holders, plan);
+                        }
+                    });
+        }
+        return plan.issues();
+    }
+
     /** Plans higher marks for the holders that have drawn most of what their marks allow. */
     public static List<SliceMark> planMarks(SliceTable table, List<Holder> holders) {
         List<SliceMark> marks = new ArrayList<>();
@@ -161,9 +181,9 @@
      * centres.
      */
     private static void planCustomer(
-            SliceTable table, String customer, List<Holder> holders, Plan plan) {
+            SliceTable table, String customer, long prepaid, List<Holder> holders, Plan plan) {
         List<DataCentreGroup> groups = groupByDataCentre(table, customer, holders);
-        long unissued = table.unissued(customer);
+        long unissued = table.unissuedOf(customer, prepaid);
         long total = unissued;
         double demandPerSecond = 0;
         for (DataCentreGroup group : groups) {
@@ -177,7 +197,7 @@
             group.weight = Math.max(group.demandPerSecond, minWeight);
             weightSum += group.weight;
         }
-        double baseTokens = BASE_SHARE * table.prepaid().getOrDefault(customer, 0L) / groups.size();
+        double baseTokens = BASE_SHARE * prepaid / groups.size();
         boolean anyShort = false;
         for (DataCentreGroup group : groups) {
             double proportionalShare = total * group.weight / weightSum;
--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SliceTable.java
@@ -168,8 +168,12 @@
      * of the holders that are not retired and minus the {@link #consumed} tokens.
      */
     public long unissued(String customer) {
-        long total = prepaid.getOrDefault(customer, 0L);
-        return Math.max(0, total - outstandingByCustomer.getOrDefault(customer, 0L));
+        return unissuedOf(customer, prepaid.getOrDefault(customer, 0L));
+    }
+
+    /** Returns the tokens that can still be issued of a number of prepaid tokens. */
+    public long unissuedOf(String customer, long prepaidTokens) {
+        return Math.max(0, prepaidTokens - outstandingByCustomer.getOrDefault(customer, 0L));
     }
 
     /** Returns the records from which {@link #restore} rebuilds the table. */
