--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/eventlog/EventLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/eventlog/EventLog.java
@@ -78,6 +78,21 @@
             return;
         }
         windowLines++;
+        offer(name, now, fields);
+    }
+
+    /**
+     * Logs the counts of an interval, of which the sender bounds the number and the size: they do
+     * not count towards the limit on lines, which would drop them when they matter. Otherwise like
+     * {@link #event}.
+     */
+    public void summary(String name, Fields fields) {
+        if (linesPerSecond > 0) {
+            offer(name, clockMillis.getAsLong(), fields);
+        }
+    }
+
+    private void offer(String name, long now, Fields fields) {
         if (!queue.offer(encode(name, now, fields))) {
             droppedLines.incrementAndGet();
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -74,7 +74,7 @@
         this.body = body;
         this.times =
                 new RequestTimes(forwarder.timers(), forwarder.drainAdmission(), receivedMillis);
-        this.log = new ExchangeLog(forwarder.log(), forwarder.metrics(), request.id());
+        this.log = new ExchangeLog(forwarder, request.id());
         this.streamRecord = new StreamRecord(forwarder, request);
         this.stream = new StreamProgress(request.lastEventId(), this::recordOrigin);
         this.quarantineCheck =
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -20,13 +20,15 @@
 final class ExchangeLog {
     private final EventLog log;
     private final FleetMetrics metrics;
+    private final CustomerOutcomes customerOutcomes;
     private final String requestId;
     private long firstByteMillis = -1;
     private long tokenWaitMillis;
 
-    ExchangeLog(EventLog log, FleetMetrics metrics, String requestId) {
-        this.log = log;
-        this.metrics = metrics;
+    ExchangeLog(Forwarder forwarder, String requestId) {
+        this.log = forwarder.log();
+        this.metrics = forwarder.metrics();
+        this.customerOutcomes = forwarder.customerOutcomes();
         this.requestId = requestId;
     }
 
@@ -170,6 +172,7 @@
             int sendCount,
             long eventCount) {
         metrics.recordAnswer(code, route, durationMillis);
+        customerOutcomes.record(customer, code);
         if (firstByteMillis >= 0) {
             metrics.recordTimeToFirstByte(route, firstByteMillis);
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -43,6 +43,7 @@
     private final RandomSource random;
     private final EventLog log;
     private final FleetMetrics metrics;
+    private final CustomerOutcomes customerOutcomes;
     private final LinkLimiter linkLimiter;
     private final LinkMeter callerLinkMeter;
     private final UpstreamRegistry upstreams;
@@ -94,6 +95,7 @@
         this.random = random;
         this.log = log;
         this.metrics = metrics;
+        this.customerOutcomes = new CustomerOutcomes(timers, log);
         this.linkLimiter = linkLimiter;
         this.callerLinkMeter = new LinkMeter(linkLimiter, LinkPeer.CALLER);
         this.upstreams = upstreams;
@@ -262,6 +264,10 @@
         return metrics;
     }
 
+    CustomerOutcomes customerOutcomes() {
+        return customerOutcomes;
+    }
+
     LinkLimiter linkLimiter() {
         return linkLimiter;
     }
