--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -13,6 +13,9 @@
 
 /** Decides whether a request is sent to an upstream, and to which one, or refused. */
 public final class Dispatcher {
+    /** Suggested retry delay while all connections are in use, of which some are free soon. */
+    private static final long CONNECTIONS_USED_RETRY_MILLIS = 300;
+
     /** Suggested retry delay if no upstream is available. */
     private static final long NO_UPSTREAM_RETRY_MILLIS = 700;
 
@@ -96,14 +99,18 @@
         List<UpstreamLoad> candidates = new ArrayList<>();
         long shortestPauseMillis = Long.MAX_VALUE;
         long shortestLimitMillis = Long.MAX_VALUE;
+        boolean connectionsUsed = false;
         List<UpstreamLoad> ofService = upstreams.ofService(query.service());
         List<UpstreamLoad> allowed = upstreamsThatContinue(query.origin(), ofService);
         if (allowed.isEmpty() && !ofService.isEmpty()) {
             return Decision.refuse(ResultCode.STREAM_VERSION_GONE, NO_UPSTREAM_RETRY_MILLIS, 0);
         }
         for (UpstreamLoad upstream : allowed) {
-            if (query.triedIds().contains(upstream.heartbeat().id())
-                    || !connectable.test(upstream)) {
+            if (query.triedIds().contains(upstream.heartbeat().id())) {
+                continue;
+            }
+            if (!connectable.test(upstream)) {
+                connectionsUsed = true;
                 continue;
             }
             long pauseMillis = upstream.remainingPauseMillis(query.nowMillis());
@@ -129,6 +136,9 @@
                     shortestPauseMillis + random.nextInt(PAUSE_RETRY_SPREAD_MILLIS),
                     0);
         }
+        if (candidates.isEmpty() && connectionsUsed) {
+            return Decision.refuse(ResultCode.CONNECTIONS_USED, CONNECTIONS_USED_RETRY_MILLIS, 0);
+        }
         PlacementPolicy.Choice choice =
                 placement.choose(query.profile(), candidates, query.nowMillis());
         if (choice == null) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
@@ -39,6 +39,11 @@
     REQUEST_QUARANTINED(4015, 503, "upstreams crash when they run this request"),
     STREAM_VERSION_GONE(4016, 503, "no upstream of the version that began this stream is left"),
     STREAM_UNKNOWN(4017, 503, "it is not known which version began this stream"),
+    CONNECTIONS_USED(
+            4018,
+            503,
+            "this instance uses its part of the connections to every upstream; another one may have"
+                    + " some left"),
     CLAIM_IN_PROGRESS(5001, 409, "a call with this key is in progress"),
     OUTCOME_UNKNOWN(5002, 409, "whether the call ran is not known"),
     OUTCOME_RECORDED(5004, 200, "the call ran before; this is its recorded answer"),
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
@@ -94,6 +94,16 @@
         assertThat(decide(origin, Set.of("u1"), 0).code()).isEqualTo(ResultCode.NO_UPSTREAM);
     }
 
+    @Test
+    void requestThatLacksOnlyAConnectionIsNotToldThatThereIsNoUpstream() {
+        add("u1", 1);
+        Dispatcher.Query query =
+                new Dispatcher.Query(SERVICE, RequestProfile.PLAIN, null, Set.of(), 1_000, 0);
+        Dispatcher.Decision decision = dispatcher.decide(query, upstream -> false);
+        assertThat(decision.code()).isEqualTo(ResultCode.CONNECTIONS_USED);
+        assertThat(decision.retryAfterMillis()).isPositive();
+    }
+
     @Test
     void pausedUpstreamGetsNoRequestUntilItsPauseEnds() {
         UpstreamLoad paused = add("u1", 1);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -7,6 +7,7 @@
 import dev.jayturn.core.configuration.RouteTable;
 import dev.jayturn.core.configuration.Service;
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.dispatch.ConnectionShare;
 import dev.jayturn.core.dispatch.Dispatcher;
 import dev.jayturn.core.dispatch.PeerLoads;
 import dev.jayturn.core.dispatch.UpstreamLoad;
@@ -33,11 +34,6 @@
 
 /** State shared by all exchanges of an entry instance; used on its event loop only. */
 public final class Forwarder {
-    /** Share of an upstream's connection limit that all entry instances together use. */
-    private static final double MAX_CONNECTION_SHARE = 0.9;
-
-    private static final int MIN_CONNECTIONS = 2;
-
     private final TimerService timers;
     private final HeaderCodec codec;
     private final RandomSource random;
@@ -380,7 +376,7 @@
     boolean canConnect(Service service, UpstreamLoad upstream) {
         EntryInstance instance = entryInstance;
         int instances = instance == null ? 1 : instance.entryCount();
-        int maxConnections = (int) (MAX_CONNECTION_SHARE * service.maxConnections() / instances);
-        return pools.poolOf(upstream).hasCapacity(Math.max(MIN_CONNECTIONS, maxConnections));
+        int maxConnections = ConnectionShare.equalPart(service.maxConnections(), instances);
+        return pools.poolOf(upstream).hasCapacity(maxConnections);
     }
 }
