--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -27,8 +27,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.internal.OutOfDirectMemoryError;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import org.jspecify.annotations.Nullable;
@@ -37,12 +35,6 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter implements MemoryBudget.Callback {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Number of queued messages of pipelined requests above which reading stops. */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
-
-    /** Bytes of queued bodies above which reading stops. */
-    private static final int MAX_PIPELINED_BYTES = 32 * 1_024;
-
     /** Time in which a body has to arrive if the caller does not say how long it waits. */
     private static final long MAX_BODY_MILLIS = 15_000;
 
@@ -58,7 +50,7 @@
     private final Forwarder forwarder;
     private final ProxyServer server;
     private final BodyParts output = new BodyParts();
-    private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
+    private final PipelinedMessages pipelinedMessages = new PipelinedMessages();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
     private @Nullable CallerRequest request;
@@ -68,7 +60,6 @@
     private boolean closing;
     private boolean continueSent;
     private @Nullable ChannelFuture lingeringResponse;
-    private int pipelinedBytes;
     private long lastUsedMillis;
     private long headMillis;
     private long closingMillis;
@@ -164,9 +155,7 @@
         }
         if (isBusy() || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(message);
-            pipelinedBytes += BodyParts.bytesOf(message);
-            if (pipelinedMessages.size() > MAX_PIPELINED_MESSAGES
-                    || pipelinedBytes > MAX_PIPELINED_BYTES) {
+            if (pipelinedMessages.isFull()) {
                 ctx.channel().config().setAutoRead(false);
             }
             return;
@@ -319,6 +308,13 @@
                     new Exchange(
                             forwarder, this, received, decoded, bodySoFar.complete(), headMillis);
             exchange = newExchange;
+            // The read that is in progress may find that the caller has left.
+            context().executor().execute(() -> startIfConnected(newExchange));
+        }
+    }
+
+    private void startIfConnected(Exchange newExchange) {
+        if (context().channel().isActive()) {
             newExchange.start();
         }
     }
@@ -326,7 +322,6 @@
     /** Keeps a part of a body until there is memory for it; nothing more is read meanwhile. */
     private void postpone(HttpContent content) {
         pipelinedMessages.addFirst(content);
-        pipelinedBytes += BodyParts.bytesOf(content);
         context().channel().config().setAutoRead(false);
     }
 
@@ -340,7 +335,7 @@
         closingMillis = forwarder.timers().nowMillis();
         keepAlive = false;
         releaseBody();
-        discardPipelined();
+        pipelinedMessages.discard();
         FullHttpResponse response = ErrorResponses.create(code, retryAfterMillis);
         CallerRequest decoded = request;
         if (decoded != null) {
@@ -359,14 +354,6 @@
         context().channel().config().setAutoRead(true);
     }
 
-    private void discardPipelined() {
-        for (Object message : pipelinedMessages) {
-            ReferenceCountUtil.release(message);
-        }
-        pipelinedMessages.clear();
-        pipelinedBytes = 0;
-    }
-
     private void releaseBody() {
         RequestBody bodySoFar = body;
         body = null;
@@ -453,9 +440,7 @@
 
     private void acceptPipelined() {
         while (!isBusy() && !closing && !pipelinedMessages.isEmpty()) {
-            Object message = pipelinedMessages.remove();
-            pipelinedBytes -= BodyParts.bytesOf(message);
-            accept(context(), message);
+            accept(context(), pipelinedMessages.remove());
         }
         // Messages that were decoded before the queue was empty may have stopped the reading again.
         if (pipelinedMessages.isEmpty() && !isWaitingForMemory()) {
@@ -478,7 +463,7 @@
         server.removeConnection(this);
         closing = true;
         releaseBody();
-        discardPipelined();
+        pipelinedMessages.discard();
         output.release();
         Exchange current = exchange;
         if (current != null) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -1,6 +1,7 @@
 package dev.jayturn.daemon.proxy;
 
 import dev.jayturn.daemon.link.ServerSockets;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
@@ -36,6 +37,9 @@
 
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
 
+    /** Reads from one connection before others have their turn. */
+    private static final int MAX_READS = 16;
+
     private final EventLoop loop;
     private final Forwarder forwarder;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
@@ -60,6 +64,12 @@
                 .setWriteBufferWaterMark(
                         new WriteBufferWaterMark(
                                 WRITE_LOW_WATER_MARK_BYTES, WRITE_HIGH_WATER_MARK_BYTES));
+        // Reads to the end of what has arrived, so that it is noticed before a request is sent on
+        // that its caller has left.
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(MAX_READS);
+        allocator.respectMaybeMoreData(false);
+        channel.config().setRecvByteBufAllocator(allocator);
         channel.pipeline()
                 .addLast(forwarder.callerLinkMeter())
                 .addLast(
