--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/TokenTransfers.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/TokenTransfers.java
@@ -46,6 +46,11 @@
         final String home;
         int homeRequestsLeft;
         long tokens;
+
+        /** Tokens for which further requests came during this round. */
+        long laterTokens;
+
+        boolean isLeaderReachable;
         boolean finished;
         long backoffStartMillis;
 
@@ -55,6 +60,7 @@
         Round(String customer, long tokens, boolean isLeaderReachable) {
             this.customer = customer;
             this.tokens = tokens;
+            this.isLeaderReachable = isLeaderReachable;
             this.home = homeOf(customer);
             this.remainingHomes = new ArrayList<>();
             addressesByDataCentre.forEach(
@@ -136,7 +142,9 @@
     }
 
     /**
-     * Starts a round of requests, or raises the amount of the one in progress.
+     * Starts a round of requests, or raises the amount of the one in progress. A round that finds
+     * its tokens is followed by one for the requests that came meanwhile: a busy instance would
+     * otherwise get the tokens of one request for each round, however many wait.
      *
      * @param isLeaderReachable whether the leader may send more tokens to the home meanwhile
      * @return whether a round is in progress
@@ -145,6 +153,8 @@
         Round round = rounds.get(customer);
         if (round != null && !round.finished) {
             round.tokens = Math.max(round.tokens, tokens);
+            round.laterTokens += tokens;
+            round.isLeaderReachable = isLeaderReachable;
             return true;
         }
         if (round != null && timers.nowMillis() - round.backoffStartMillis < ROUND_BACKOFF_MILLIS) {
@@ -164,6 +174,9 @@
         if (hasEnough || (round.remainingHomes.isEmpty() && round.homeRequestsLeft == 0)) {
             round.finished = true;
             round.backoffStartMillis = hasEnough ? Long.MIN_VALUE / 2 : timers.nowMillis();
+            if (hasEnough && round.laterTokens > 0) {
+                request(holder, round.customer, round.laterTokens, round.isLeaderReachable);
+            }
             onTokensChange.run();
             return;
         }
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/StarvedCustomerTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/StarvedCustomerTest.java
@@ -11,8 +11,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Guards against starving a customer whose budget is put in force right before all entry instances
- * lose touch with the control instances.
+ * Guards against starving a customer whose tokens are elsewhere: those of a budget that is put in
+ * force right before all entry instances lose touch with the control instances, and those that one
+ * instance needs as all callers of a customer are connected to it.
  */
 final class StarvedCustomerTest {
     private static final int CONTROLS = 6;
@@ -33,6 +34,9 @@
     /** A customer is starved if its share of served requests is below this part of everybody's. */
     private static final double STARVED_BELOW = 0.25;
 
+    /** Tokens are left in the data centre, so the instance at which calls arrive hardly matters. */
+    private static final double SAME_INSTANCE_SHARE = 0.9;
+
     private static final ConfigurationCallback IGNORED =
             new ConfigurationCallback() {
                 @Override
@@ -49,6 +53,7 @@
     private final Map<String, Long> calls = new HashMap<>();
     private VirtualFleet fleet = new VirtualFleet(1, CONTROLS, 0);
     private long startMillis;
+    private boolean largestStays;
 
     private static String customer(int rank) {
         return "customer-" + rank;
@@ -103,14 +108,15 @@
         int rank = drawRank();
         List<VirtualEntry> knowing = new ArrayList<>();
         for (VirtualEntry entry : fleet.entries.values()) {
-            if (rank != NEW_CUSTOMER || entry.configurationVersion >= 2) {
+            if (rank != NEW_CUSTOMER || largestStays || entry.configurationVersion >= 2) {
                 knowing.add(entry);
             }
         }
         if (!knowing.isEmpty()) {
             long tokens = drawTokens();
             calls.merge(customer(rank), 1L, Long::sum);
-            knowing.get(fleet.random.nextInt(knowing.size()))
+            boolean staysWithOneInstance = rank == 0 && largestStays;
+            knowing.get(staysWithOneInstance ? 0 : fleet.random.nextInt(knowing.size()))
                     .call(customer(rank), tokens, (long) (SPENT_SHARE * tokens));
         }
     }
@@ -179,11 +185,47 @@
         assertNoneIsStarved();
     }
 
-    private void assertNoneIsStarved() {
-        long allCalls = calls.values().stream().mapToLong(Long::longValue).sum();
-        long allRefused =
+    @ParameterizedTest(name = "{0} instances, {1} calls per second, seed {2}, cut off {3}")
+    @CsvSource({
+        "6, 24, 1, false", "6, 24, 2, true",
+        "30, 120, 1, false", "30, 120, 2, true",
+        "80, 300, 1, false", "80, 300, 2, true"
+    })
+    void customerWhoseCallersAreAllConnectedToOneInstanceIsServed(
+            int instances, int callsPerSecond, long seed, boolean cutOff) {
+        fleet =
+                new VirtualFleet(
+                        seed, CONTROLS, instances, (instances + DATA_CENTRES - 1) / DATA_CENTRES);
+        fleet.network.setFaults(0, 0, 5);
+        fleet.time.runFor(3_000);
+        fleet.put(1, budgets(callsPerSecond, true), IGNORED);
+        fleet.time.runFor(2_000);
+        largestStays = true;
+        startMillis = fleet.time.nowMillis();
+        scheduleCall(callsPerSecond);
+        fleet.time.runFor(5_000);
+        if (cutOff) {
+            fleet.network.isolate("core");
+        }
+        fleet.time.runFor(7_000);
+        fleet.network.heal();
+        fleet.time.runFor(4_000);
+        long called = calls.getOrDefault(customer(0), 0L);
+        long refused = fleet.refusedCallsByCustomer.getOrDefault(customer(0), 0L);
+        assertThat(servedShare(called, refused))
+                .as("share served of %d calls, of all %.2f", called, shareOfAll())
+                .isGreaterThanOrEqualTo(SAME_INSTANCE_SHARE * shareOfAll());
+    }
+
+    private double shareOfAll() {
+        long called = calls.values().stream().mapToLong(Long::longValue).sum();
+        long refused =
                 fleet.refusedCallsByCustomer.values().stream().mapToLong(Long::longValue).sum();
-        double all = servedShare(allCalls, allRefused);
+        return servedShare(called, refused);
+    }
+
+    private void assertNoneIsStarved() {
+        double all = shareOfAll();
         calls.forEach(
                 (customer, called) -> {
                     long refused = fleet.refusedCallsByCustomer.getOrDefault(customer, 0L);
