--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/TokenTransfers.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/TokenTransfers.java
@@ -51,13 +51,18 @@
         long laterTokens;
 
         boolean isLeaderReachable;
+
+        /** Whether the tokens are for several requests, so that a part of them is of use, too. */
+        final boolean isForSeveral;
+
         boolean finished;
         long backoffStartMillis;
 
         /** Shows whether a timer belongs to the last request; earlier timers have no effect. */
         int requestsSent;
 
-        Round(String customer, long tokens, boolean isLeaderReachable) {
+        Round(String customer, long tokens, boolean isLeaderReachable, boolean isForSeveral) {
+            this.isForSeveral = isForSeveral;
             this.customer = customer;
             this.tokens = tokens;
             this.isLeaderReachable = isLeaderReachable;
@@ -160,12 +165,20 @@
         if (round != null && timers.nowMillis() - round.backoffStartMillis < ROUND_BACKOFF_MILLIS) {
             return false;
         }
-        Round newRound = new Round(customer, tokens, isLeaderReachable);
+        Round newRound = new Round(customer, tokens, isLeaderReachable, false);
         rounds.put(customer, newRound);
         askNext(newRound, holder, 0);
         return !newRound.finished;
     }
 
+    private void askForLaterRequests(Round previous, String holder) {
+        Round next =
+                new Round(
+                        previous.customer, previous.laterTokens, previous.isLeaderReachable, true);
+        rounds.put(previous.customer, next);
+        askNext(next, holder, 0);
+    }
+
     private void askNext(Round round, String holder, int requestsSent) {
         if (round.finished || round.requestsSent != requestsSent) {
             return;
@@ -173,9 +186,11 @@
         boolean hasEnough = slices.canReserve(round.customer, round.tokens);
         if (hasEnough || (round.remainingHomes.isEmpty() && round.homeRequestsLeft == 0)) {
             round.finished = true;
-            round.backoffStartMillis = hasEnough ? Long.MIN_VALUE / 2 : timers.nowMillis();
+            // What a round for several requests has found does for some of them.
+            boolean foundNothing = !hasEnough && !round.isForSeveral;
+            round.backoffStartMillis = foundNothing ? timers.nowMillis() : Long.MIN_VALUE / 2;
             if (hasEnough && round.laterTokens > 0) {
-                request(holder, round.customer, round.laterTokens, round.isLeaderReachable);
+                askForLaterRequests(round, holder);
             }
             onTokensChange.run();
             return;
@@ -189,7 +204,8 @@
         if (isHomeNext) {
             round.homeRequestsLeft--;
         }
-        transport.send(peer, new TokenAsk(self, holder, round.customer, round.tokens, !isHomeNext));
+        boolean partly = !isHomeNext || round.isForSeveral;
+        transport.send(peer, new TokenAsk(self, holder, round.customer, round.tokens, partly));
         int requestsSentNow = round.requestsSent;
         timers.schedule(ANSWER_TIMEOUT_MILLIS, () -> askNext(round, holder, requestsSentNow));
     }
