--- a/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/slice/SlicePlanner.java
@@ -36,7 +36,10 @@
      */
     private static final double MARK_HEADROOM_SECONDS = 3.6;
 
-    /** A mark is raised when less than this fraction of its headroom is left. */
+    /**
+     * A mark is raised when less than this fraction of its headroom is left, or less than a request
+     * lacked.
+     */
     private static final double RAISE_MARK_BELOW = 0.9;
 
     /** Tokens in excess of this multiple of a data centre's target are recalled. */
@@ -136,7 +139,11 @@
                                                         status.averageRequestTokens(),
                                                         status.largestShortage()));
                                 long mark = table.totals(holder.id(), customer).mark();
-                                if (mark < status.drawn() + RAISE_MARK_BELOW * headroom) {
+                                double needed =
+                                        Math.max(
+                                                RAISE_MARK_BELOW * headroom,
+                                                status.largestShortage());
+                                if (mark < status.drawn() + needed) {
                                     long raised = (long) (status.drawn() + headroom);
                                     marks.add(new SliceMark(holder.id(), customer, raised));
                                 }
