Let conditions exclude upstreams before one is chosen

Emptied data centres and the regions that a route allows are both conditions on an upstream that no placement policy should have to know. Dispatcher.addFilter takes such a condition with the code of the refusal if no upstream meets it. Nothing adds one yet, so behaviour is unchanged; DispatcherTest has two new cases, both pass.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -32,6 +32,7 @@
     private final RandomSource random;
     private RateLimits rateLimits = RateLimits.NONE;
     private BooleanSupplier directoryCheck = () -> true;
+    private final List<UpstreamFilter> filters = new ArrayList<>();
 
     public Dispatcher(UpstreamRegistry upstreams, PlacementPolicy placement, RandomSource random) {
         this.upstreams = upstreams;
@@ -52,6 +53,11 @@
         directoryCheck = check;
     }
 
+    /** Adds a condition that an upstream has to meet. */
+    public void addFilter(UpstreamFilter filter) {
+        filters.add(filter);
+    }
+
     /**
      * A request that has not been answered yet.
      *
@@ -105,6 +111,14 @@
         if (allowed.isEmpty() && !ofService.isEmpty()) {
             return Decision.refuse(ResultCode.STREAM_VERSION_GONE, NO_UPSTREAM_RETRY_MILLIS, 0);
         }
+        for (UpstreamFilter filter : filters) {
+            List<UpstreamLoad> admitted =
+                    allowed.stream().filter(upstream -> filter.admits(query, upstream)).toList();
+            if (admitted.isEmpty() && !allowed.isEmpty()) {
+                return Decision.refuse(filter.refusal(), NO_UPSTREAM_RETRY_MILLIS, 0);
+            }
+            allowed = admitted;
+        }
         for (UpstreamLoad upstream : allowed) {
             if (query.triedIds().contains(upstream.heartbeat().id())) {
                 continue;
--- a/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/dispatch/DispatcherTest.java
@@ -104,6 +104,38 @@
         assertThat(decision.retryAfterMillis()).isPositive();
     }
 
+    private static UpstreamFilter onlyPort(int port, ResultCode refusal) {
+        return new UpstreamFilter() {
+            @Override
+            public boolean admits(Dispatcher.Query query, UpstreamLoad upstream) {
+                return upstream.heartbeat().address().endsWith(":" + port);
+            }
+
+            @Override
+            public ResultCode refusal() {
+                return refusal;
+            }
+        };
+    }
+
+    @Test
+    void requestGoesOnlyToUpstreamsThatMeetAllConditions() {
+        add("u1", 1);
+        UpstreamLoad admitted = add("u2", 2);
+        dispatcher.addFilter(onlyPort(2, ResultCode.DRAINING));
+        for (int i = 0; i < 20; i++) {
+            assertThat(decideAt(i).upstream()).isSameAs(admitted);
+        }
+    }
+
+    @Test
+    void requestIsRefusedForTheConditionThatNoUpstreamMeets() {
+        add("u1", 1);
+        dispatcher.addFilter(onlyPort(1, ResultCode.DRAINING));
+        dispatcher.addFilter(onlyPort(2, ResultCode.NOT_READY));
+        assertThat(decideAt(0).code()).isEqualTo(ResultCode.NOT_READY);
+    }
+
     @Test
     void pausedUpstreamGetsNoRequestUntilItsPauseEnds() {
         UpstreamLoad paused = add("u1", 1);
