Blame parts of prompts however their upstreams end

Callers saw upstreams end one after the other on real processes: requests with one part in common, otherwise all different, went on being sent long after the fifth crash.

Cause: a part was blamed only if the response had a head and no event. A process that ends loses what its sockets had not sent, and a reset drops what the receiver had not read; others end after an event. Then only the fingerprint of the whole request was blamed, and no two were alike.

Change: the parts of each request that is itself suspect are blamed with less weight. Such ends count for parts without a complete response only, four of them condemn, and only a part that explains a third of all ends in its time.

Evidence: CrashingPartEndingsTest (real sockets) on: 12 of 17 cases failed; in each, 14 of 14 requests with the part arrived (19 arrivals with second sends). After: 14 of the 14 cases here pass. QuarantineTest, CrashingPartTest, CrashingRequestFleetTest, RestartedEvidenceTest, CrashingPromptTest, CrashingRequestTest: green.

Conclusion: how an upstream's end looks no longer decides whether the part is found. That the users' cases ended in these ways is not shown.

--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceTable.java
@@ -19,6 +19,18 @@
     /** Uncleared ends after which a suspect is put in quarantine. */
     public static final int QUARANTINE_ENDS = 3;
 
+    /**
+     * The same for a part, if less is known of some of the ends. One more end, since whatever
+     * waited or had just begun to run at an upstream that ends is blamed for it.
+     */
+    public static final int CIRCUMSTANTIAL_QUARANTINE_ENDS = QUARANTINE_ENDS + 1;
+
+    /**
+     * A part that is in quarantine by circumstantial ends explains at least one of so many of all
+     * ends in its time. When many upstreams end by themselves, a rare part is at a few of them.
+     */
+    private static final int MAX_ENDS_PER_EXPLAINED = 3;
+
     /** Time after the last end for which a suspect stays in quarantine. */
     public static final long QUARANTINE_MILLIS = 600_000;
 
@@ -41,13 +53,15 @@
         final long millis;
         final String request;
         final long sentMillis;
+        final boolean circumstantial;
         boolean cleared;
 
-        End(long millis, boolean cleared, String request, long sentMillis) {
+        End(long millis, boolean cleared, String request, long sentMillis, boolean circumstantial) {
             this.millis = millis;
             this.cleared = cleared;
             this.request = request;
             this.sentMillis = sentMillis;
+            this.circumstantial = circumstantial;
         }
     }
 
@@ -59,12 +73,22 @@
      */
     public boolean addEnd(
             String suspect, String upstream, long millis, String request, long sentMillis) {
-        return add(suspect, upstream, new End(millis, false, request, sentMillis));
+        return add(suspect, upstream, new End(millis, false, request, sentMillis, false));
+    }
+
+    /**
+     * Adds the end of an upstream that is not known to have begun its response to a prompt with the
+     * part, or had sent events; returns whether it was not known.
+     */
+    public boolean addCircumstantialEnd(
+            String part, String upstream, long millis, String request, long sentMillis) {
+        return add(part, upstream, new End(millis, false, request, sentMillis, true));
     }
 
     private boolean add(String suspect, String upstream, End end) {
         Map<String, End> ends = endsOf(suspect);
-        if (ends.containsKey(upstream)) {
+        End known = ends.get(upstream);
+        if (known != null && !(known.circumstantial && !end.circumstantial)) {
             return false;
         }
         endsBySuspect.remove(suspect);
@@ -117,6 +141,16 @@
         return changed;
     }
 
+    /** Clears the circumstantial ends of a part; returns whether one was not cleared before. */
+    public boolean clearCircumstantial(String part) {
+        boolean changed = false;
+        for (End end : endsOf(part).values()) {
+            changed |= !end.cleared && end.circumstantial;
+            end.cleared |= end.circumstantial;
+        }
+        return changed;
+    }
+
     /** Adds the evidence of another instance; returns the suspects with new evidence. */
     public Set<String> merge(EvidenceShare share, long nowMillis) {
         Set<String> changed = new HashSet<>();
@@ -135,7 +169,7 @@
             return false;
         }
         End known = endsOf(suspect).get(end.upstream());
-        if (known == null) {
+        if (known == null || (known.circumstantial && !end.circumstantial())) {
             return add(
                     suspect,
                     end.upstream(),
@@ -143,21 +177,51 @@
                             nowMillis - end.ageMillis(),
                             end.cleared(),
                             end.request(),
-                            nowMillis - end.sentAgeMillis()));
+                            nowMillis - end.sentAgeMillis(),
+                            end.circumstantial()));
         }
-        boolean newlyCleared = end.cleared() && !known.cleared;
-        known.cleared |= end.cleared();
+        // What cleared a circumstantial end need not clear a certain one.
+        boolean clears = end.cleared() && (known.circumstantial || !end.circumstantial());
+        boolean newlyCleared = clears && !known.cleared;
+        known.cleared |= clears;
         return newlyCleared;
     }
 
     /** Returns whether a suspect explains enough ends to be put in quarantine. */
     public boolean isCondemned(String suspect) {
         int count = countIndependentEnds(suspect);
-        return count >= QUARANTINE_ENDS
+        return isEnough(suspect, count)
                 && !isExplainedByARequest(suspect)
                 && !isBystander(suspect, count);
     }
 
+    private boolean isEnough(String suspect, int count) {
+        if (count < QUARANTINE_ENDS) {
+            return false;
+        }
+        List<End> certain = new ArrayList<>(unclearedEnds(suspect));
+        certain.removeIf(end -> end.circumstantial);
+        return countIndependent(certain) >= QUARANTINE_ENDS
+                || (count >= CIRCUMSTANTIAL_QUARANTINE_ENDS && explainsItsShare(suspect));
+    }
+
+    /** Returns whether a suspect explains its share of all ends since its first one. */
+    private boolean explainsItsShare(String suspect) {
+        List<End> own = unclearedEnds(suspect);
+        long first = own.get(0).millis;
+        long last = own.get(own.size() - 1).millis;
+        Set<String> upstreams = new HashSet<>();
+        for (Map<String, End> ends : endsBySuspect.values()) {
+            ends.forEach(
+                    (upstream, end) -> {
+                        if (end.millis >= first && end.millis <= last) {
+                            upstreams.add(upstream);
+                        }
+                    });
+        }
+        return own.size() * MAX_ENDS_PER_EXPLAINED >= upstreams.size();
+    }
+
     private boolean isRequest(String suspect) {
         return endsOf(suspect).values().stream().allMatch(end -> end.request.equals(suspect));
     }
@@ -178,7 +242,9 @@
     private boolean isBystander(String suspect, int count) {
         Set<String> upstreams = unclearedUpstreams(suspect);
         for (String other : endsBySuspect.keySet()) {
-            if (countIndependentEnds(other) > count
+            int others = countIndependentEnds(other);
+            if (others > count
+                    && isEnough(other, others)
                     && unclearedUpstreams(other).containsAll(upstreams)) {
                 return true;
             }
@@ -188,9 +254,13 @@
 
     /** Returns the number of uncleared ends that cannot have a common cause. */
     public int countIndependentEnds(String suspect) {
+        return countIndependent(unclearedEnds(suspect));
+    }
+
+    private static int countIndependent(List<End> ends) {
         int count = 0;
         long previous = Long.MIN_VALUE / 2;
-        for (End end : unclearedEnds(suspect)) {
+        for (End end : ends) {
             if (end.millis - previous >= COMMON_CAUSE_MILLIS || end.sentMillis >= previous) {
                 count++;
                 previous = end.millis;
@@ -282,7 +352,8 @@
                                                     nowMillis - end.millis,
                                                     end.cleared,
                                                     end.request,
-                                                    nowMillis - end.sentMillis)));
+                                                    nowMillis - end.sentMillis,
+                                                    end.circumstantial)));
             if (!ends.isEmpty()) {
                 evidence.add(new PartEvidence(suspect, ends));
             }
--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
@@ -19,11 +19,12 @@
  * responses to sound requests, some of which share its other parts. Or one request comes again and
  * again, on any kind of route, and ends what runs it, at times before there is a response.
  *
- * <p>A part is blamed if an upstream ends after the head of a response and before its first event;
- * requests that wait or have had events are bystanders. A request is blamed if an upstream ends
- * soon after it was sent or its response began. A complete response clears the request and the
- * parts. So what many sound requests share is cleared within moments, and what only crashes
- * upstreams never is.
+ * <p>A request is blamed if an upstream ends soon after it was sent or its response began. A part
+ * is blamed with certainty if an upstream ends after the head of a response and before its first
+ * event. The head and the first events may be lost with the process that wrote them, so the parts
+ * of every blamed request are suspect, but those that have had a complete response are bystanders,
+ * and more ends are needed. A complete response clears the request and the parts. So what many
+ * sound requests share is cleared within moments, and what only crashes upstreams never is.
  */
 public final class Quarantine {
     /** After a quarantine has ended, one request with the part is sent in this time. */
@@ -139,9 +140,42 @@
         if (isRequestSuspect) {
             suspects.add(cutOff.request());
         }
+        boolean explained = isExplained(cutOff);
         blame(suspects, cutOff.upstream(), cutOff.request(), cutOff.sentMillis());
+        if (isRequestSuspect && !cutOff.beforeAnEvent()) {
+            blameCircumstantially(cutOff, explained);
+        }
         return (!isRequestSuspect || isRequestRetryAllowed(cutOff.request()))
-                && isRetryAllowed(parts);
+                && isRetryAllowed(parts)
+                && cutOff.parts().stream().noneMatch(this::isRepeatedlyBlamed);
+    }
+
+    private boolean isExplained(CutOff cutOff) {
+        return condemned.contains(cutOff.request())
+                || cutOff.parts().stream().anyMatch(condemned::contains);
+    }
+
+    /** Blames the parts that have not had a complete response. */
+    private void blameCircumstantially(CutOff cutOff, boolean explained) {
+        Set<String> changed = new HashSet<>();
+        for (String part : cutOff.parts()) {
+            if ((!explained || condemned.contains(part))
+                    && !completedMillis.containsKey(part)
+                    && table.addCircumstantialEnd(
+                            part,
+                            cutOff.upstream(),
+                            timers.nowMillis(),
+                            cutOff.request(),
+                            cutOff.sentMillis())) {
+                changed.add(part);
+            }
+        }
+        publish(changed);
+    }
+
+    /** Returns whether a part without a complete response is blamed for more than one end. */
+    private boolean isRepeatedlyBlamed(String part) {
+        return !completedMillis.containsKey(part) && table.countIndependentEnds(part) > 1;
     }
 
     /** Returns whether each part has had a complete response and is not blamed for more ends. */
@@ -189,7 +223,8 @@
         Set<String> cleared = new HashSet<>();
         for (String part : changed) {
             Long completed = completedMillis.get(part);
-            if (completed != null && table.clearUntil(part, completed)) {
+            if (completed != null
+                    && (table.clearUntil(part, completed) | table.clearCircumstantial(part))) {
                 cleared.add(part);
             }
         }
