Serve requests only in the regions that bind them

Callers whose route or customer is bound to regions (allowed_regions) were served by upstreams of any region: the field of the configuration was not read, and placement knew regions only as a cost.

A route and a customer now have a set of regions. The regions of both bind; without a common one the request is refused. The dispatcher has a condition for them, so that first sends, retries, resumptions and requests that waited choose only upstreams there, by the configuration in force at that moment, and it is checked again right before a request is written. An upstream whose data centre the settings place in no region gets no bound request. Without an upstream in the regions the request is refused with 4019 (503, not run). Configurations without the field behave as before.

--- a/jayturn-core/src/main/java/dev/jayturn/core/configuration/Customer.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/configuration/Customer.java
@@ -8,5 +8,11 @@
  *
  * @param priority rank that is compared before the rank of the route; 0 is the most urgent
  * @param prepaidTokens total tokens that the customer may consume; empty if it has no budget
+ * @param regions regions whose upstreams may get the customer's requests
  */
-public record Customer(String name, List<String> keys, int priority, OptionalLong prepaidTokens) {}
+public record Customer(
+        String name,
+        List<String> keys,
+        int priority,
+        OptionalLong prepaidTokens,
+        RegionSet regions) {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/configuration/Route.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/configuration/Route.java
@@ -14,6 +14,7 @@
  * @param maxAttempts maximum number of upstreams that one request is sent to
  * @param keyless whether requests need no API key
  * @param resumable whether another upstream may continue an interrupted stream
+ * @param regions regions whose upstreams may get the requests
  */
 public record Route(
         String name,
@@ -27,7 +28,8 @@
         List<ServiceWeight> serviceWeights,
         int maxAttempts,
         boolean keyless,
-        boolean resumable) {
+        boolean resumable,
+        RegionSet regions) {
     /** Returns whether a request may be executed more than once. */
     public boolean isRepeatable() {
         return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && resumable);
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.dispatch;
 
+import dev.jayturn.core.configuration.RegionSet;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.RateLimits;
 import dev.jayturn.core.result.ResultCode;
@@ -65,6 +66,7 @@
      *     event has been received
      * @param triedIds ids of the upstreams that the request was already sent to
      * @param remainingMillis time until the deadline of the request
+     * @param regions regions whose upstreams may get the request
      */
     public record Query(
             String service,
@@ -72,7 +74,19 @@
             @Nullable StreamOrigin origin,
             Set<String> triedIds,
             long remainingMillis,
-            long nowMillis) {}
+            long nowMillis,
+            RegionSet regions) {
+        /** Creates the query of a request that may be served in every region. */
+        public Query(
+                String service,
+                RequestProfile profile,
+                @Nullable StreamOrigin origin,
+                Set<String> triedIds,
+                long remainingMillis,
+                long nowMillis) {
+            this(service, profile, origin, triedIds, remainingMillis, nowMillis, RegionSet.ALL);
+        }
+    }
 
     /**
      * The decision on a request.
@@ -95,6 +109,14 @@
         }
     }
 
+    /**
+     * Returns whether an upstream that was chosen before meets the conditions for the request as
+     * they are now; asked right before the request is sent.
+     */
+    public boolean admits(Query query, UpstreamLoad upstream) {
+        return filters.stream().allMatch(filter -> filter.admits(query, upstream));
+    }
+
     /**
      * Decides on a request. An upstream that asked for a pause or whose rate limit is used up is
      * never a candidate; if all are, the request is refused until the first one may get it.
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Location.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Location.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.dispatch;
 
+import dev.jayturn.core.configuration.RegionSet;
 import java.util.Map;
 
 /**
@@ -13,4 +14,13 @@
         String region = regions.getOrDefault(dataCentre, dataCentre);
         return region.equals(regions.getOrDefault(other, other));
     }
+
+    /**
+     * Returns whether a data centre is in one of the regions. One without an entry is in none of a
+     * bounded set: where it is can only be guessed.
+     */
+    public boolean isIn(RegionSet allowed, String other) {
+        String region = regions.get(other);
+        return region == null ? allowed.isUnbounded() : allowed.contains(region);
+    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
@@ -44,6 +44,7 @@
             503,
             "this instance uses its part of the connections to every upstream; another one may have"
                     + " some left"),
+    REGION_UNAVAILABLE(4019, 503, "no upstream is available in the regions that bind the request"),
     CLAIM_IN_PROGRESS(5001, 409, "a call with this key is in progress"),
     OUTCOME_UNKNOWN(5002, 409, "whether the call ran is not known"),
     OUTCOME_RECORDED(5004, 200, "the call ran before; this is its recorded answer"),
--- a/jayturn-core/src/test/java/dev/jayturn/core/configuration/ConfigurationCheckerTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/configuration/ConfigurationCheckerTest.java
@@ -12,7 +12,19 @@
         List<ServiceWeight> split =
                 Arrays.stream(weights).mapToObj(w -> new ServiceWeight("s", w)).toList();
         return new Route(
-                "r", host, "/a/", RequestKind.IDEMPOTENT, 1_000, 100, 0, 0, split, 1, true, false);
+                "r",
+                host,
+                "/a/",
+                RequestKind.IDEMPOTENT,
+                1_000,
+                100,
+                0,
+                0,
+                split,
+                1,
+                true,
+                false,
+                RegionSet.ALL);
     }
 
     private static void check(Route... routes) throws ConfigurationException {
--- a/jayturn-core/src/test/java/dev/jayturn/core/configuration/RouteTableTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/configuration/RouteTableTest.java
@@ -22,7 +22,8 @@
                 List.of(new ServiceWeight("press", weight)),
                 2,
                 false,
-                false);
+                false,
+                RegionSet.ALL);
     }
 
     private static Configuration configuration(List<Route> routes, List<Customer> customers) {
@@ -36,7 +37,7 @@
     }
 
     private static Customer customer(String name, String key) {
-        return new Customer(name, List.of(key), 1, OptionalLong.empty());
+        return new Customer(name, List.of(key), 1, OptionalLong.empty(), RegionSet.ALL);
     }
 
     @Test
@@ -93,7 +94,8 @@
                         List.of(new ServiceWeight("nobody", 1)),
                         1,
                         true,
-                        true);
+                        true,
+                        RegionSet.ALL);
         assertRejected(
                 configuration(List.of(unknownService), List.of()),
                 ResultCode.CONFIGURATION_UNKNOWN_SERVICE);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -10,6 +10,7 @@
 import dev.jayturn.core.dispatch.ExpectedTimePlacement;
 import dev.jayturn.core.dispatch.LoadShare;
 import dev.jayturn.core.dispatch.PeerLoads;
+import dev.jayturn.core.dispatch.RegionFilter;
 import dev.jayturn.core.dispatch.UpstreamRegistry;
 import dev.jayturn.core.fleet.ConfigurationDocument;
 import dev.jayturn.core.fleet.EntryInstance;
@@ -124,6 +125,7 @@
                         upstreamRegistry,
                         new ExpectedTimePlacement(FleetSettings.location(settings), random),
                         random);
+        dispatcher.addFilter(new RegionFilter(FleetSettings.location(settings)));
         this.forwarder =
                 new Forwarder(
                         loop,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -157,7 +157,8 @@
         boolean lacksPermit = !permitHeld && forwarder.needsPermit(upstream);
         boolean mayBeOtherVersion =
                 exchange.stream().origin() != null && !forwarder.isDirectoryCurrent();
-        if (lacksPermit || mayBeOtherVersion || !forwarder.acceptsRequests(upstream)) {
+        boolean accepted = forwarder.acceptsRequests(upstream) && exchange.admits(upstream);
+        if (lacksPermit || mayBeOtherVersion || !accepted) {
             recordEnd();
             exchange.onFailure(this, Failure.WITHDRAWN);
             return false;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -1,6 +1,5 @@
 package dev.jayturn.daemon.proxy;
 
-import dev.jayturn.core.configuration.Engine;
 import dev.jayturn.core.configuration.RequestKind;
 import dev.jayturn.core.configuration.Route;
 import dev.jayturn.core.configuration.RouteTable;
@@ -50,6 +49,7 @@
     private final PermitWait permitWait;
     private final StreamProgress stream;
     private final StreamRecord streamRecord;
+    private final RequestQuery query;
     private @Nullable Route route;
     private boolean prepaid;
     private @Nullable Service service;
@@ -74,6 +74,7 @@
         this.body = body;
         this.times =
                 new RequestTimes(forwarder.timers(), forwarder.drainAdmission(), receivedMillis);
+        this.query = new RequestQuery(forwarder, head, request, times, history);
         this.log = new ExchangeLog(forwarder, request.id());
         this.streamRecord = new StreamRecord(forwarder, request);
         this.stream = new StreamProgress(request.lastEventId(), this::recordOrigin);
@@ -228,16 +229,7 @@
             fail(ResultCode.DRAINING, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
             return;
         }
-        Dispatcher.Query query =
-                new Dispatcher.Query(
-                        target.name(),
-                        request.profile(),
-                        stream.origin(),
-                        history.triedIds(),
-                        times.remainingMillis(),
-                        forwarder.timers().nowMillis());
-        Dispatcher.Decision decision =
-                forwarder.dispatcher().decide(query, u -> forwarder.canConnect(target, u));
+        Dispatcher.Decision decision = query.decide(target, stream);
         UpstreamLoad upstream = decision.upstream();
         if (upstream == null) {
             if (decision.code() != ResultCode.UPSTREAMS_LIMITED
@@ -299,6 +291,12 @@
         log.recordSend(history.onSent());
     }
 
+    /** Returns whether the request may be sent to the upstream that was chosen for it. */
+    boolean admits(UpstreamLoad upstream) {
+        Service target = service;
+        return target != null && query.admits(target, stream, upstream);
+    }
+
     QuarantineCheck quarantineCheck() {
         return quarantineCheck;
     }
@@ -478,12 +476,11 @@
             currentAttempt.cancel();
         }
         long eventCount = stream.eventCount();
-        Engine engine = service == null ? null : service.engine();
-        long maxOutput = engine == null ? 0 : eventCount * engine.maxTokensPerEvent();
-        long maxDelivered = request.profile().maxDeliveredTokens(maxOutput);
         TokenReservation reservation = tokenReservation;
-        if (reservation != null) {
-            reservation.settle(history.mayHaveExecuted() ? maxDelivered : 0);
+        if (reservation != null && history.mayHaveExecuted()) {
+            reservation.settle(request.profile(), service, eventCount);
+        } else if (reservation != null) {
+            reservation.settle(0);
         }
         log.logEnd(
                 code,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenReservation.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenReservation.java
@@ -1,5 +1,8 @@
 package dev.jayturn.daemon.proxy;
 
+import dev.jayturn.core.configuration.Engine;
+import dev.jayturn.core.configuration.Service;
+import dev.jayturn.core.dispatch.RequestProfile;
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.slice.SliceAccounts;
@@ -150,6 +153,13 @@
         }
     }
 
+    /** Ends the reservation of a request of which this number of events may have been delivered. */
+    void settle(RequestProfile profile, @Nullable Service service, long eventCount) {
+        Engine engine = service == null ? null : service.engine();
+        long maxOutput = engine == null ? 0 : eventCount * engine.maxTokensPerEvent();
+        settle(profile.maxDeliveredTokens(maxOutput));
+    }
+
     /** Returns the state of the slice on which the decision is based, for the log. */
     SliceView sliceView() {
         return entryInstance.slices().view(customer);
