Blame the last part of a prompt for the ends of upstreams too

Callers saw that requests of one session, each different but for the last part of the prompt, ended one upstream after the other without an end.

Cause: only the parts that prompts share were blamed and checked; the last one, which belongs to the request or its session, was left out.

Change: it is blamed, checked and named in attempt.failed like the others. It does not decide on a second send after one end, since it is new with most requests. Complete responses clear it but are not remembered, so they don't push out what is known of shared parts.

Not measured: the bytes that evidence on last parts adds between instances.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/RequestProfile.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/RequestProfile.java
@@ -44,6 +44,16 @@
         return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
     }
 
+    /** Returns the ids of all parts. */
+    public List<String> partIds() {
+        return parts.stream().map(PromptPart::id).toList();
+    }
+
+    /** Returns the id of the last part, which belongs to the request or its session; else none. */
+    public List<String> ownPartIds() {
+        return parts.isEmpty() ? List.of() : List.of(parts.get(parts.size() - 1).id());
+    }
+
     /** Returns the tokens of all parts except the last one. */
     public long sharedPrefixTokens() {
         long tokens = 0;
--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/CutOff.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/CutOff.java
@@ -1,5 +1,6 @@
 package dev.jayturn.core.quarantine;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -7,6 +8,7 @@
  *
  * @param request fingerprint of the request
  * @param parts ids of the parts of its prompt that other prompts may share
+ * @param ownParts ids of the parts that belong to the request or its session
  * @param upstream id and incarnation of the upstream
  * @param beforeAnEvent whether a response had begun, without an event
  * @param ranMillis time since the response began, or since the request was sent if it did not
@@ -15,7 +17,26 @@
 public record CutOff(
         String request,
         List<String> parts,
+        List<String> ownParts,
         String upstream,
         boolean beforeAnEvent,
         long ranMillis,
-        long sentMillis) {}
+        long sentMillis) {
+    /** Creates a record of a request without a part of its own. */
+    public CutOff(
+            String request,
+            List<String> parts,
+            String upstream,
+            boolean beforeAnEvent,
+            long ranMillis,
+            long sentMillis) {
+        this(request, parts, List.of(), upstream, beforeAnEvent, ranMillis, sentMillis);
+    }
+
+    /** Returns the ids of all parts of the prompt. */
+    List<String> allParts() {
+        List<String> all = new ArrayList<>(parts);
+        all.addAll(ownParts);
+        return all;
+    }
+}
--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
@@ -126,6 +126,17 @@
         publish(changed);
     }
 
+    /**
+     * Records a complete and successful response to a prompt with parts of its own. They are not
+     * remembered, since each request has others.
+     */
+    public void clear(List<String> ownParts) {
+        long now = timers.nowMillis();
+        Set<String> changed = new HashSet<>(ownParts);
+        changed.removeIf(part -> !table.clearUntil(part, now));
+        publish(changed);
+    }
+
     /**
      * Records that an upstream ended, or broke the connection, while it ran a request. The request
      * is suspect if it has run for a short time, the parts of its prompt if the response had begun
@@ -136,7 +147,8 @@
     public boolean onCutOff(CutOff cutOff) {
         boolean isRequestSuspect = cutOff.ranMillis() <= MAX_CRASH_MILLIS;
         List<String> parts = cutOff.beforeAnEvent() ? cutOff.parts() : List.of();
-        List<String> suspects = new ArrayList<>(parts);
+        List<String> suspects =
+                new ArrayList<>(cutOff.beforeAnEvent() ? cutOff.allParts() : List.of());
         if (isRequestSuspect) {
             suspects.add(cutOff.request());
         }
@@ -147,18 +159,18 @@
         }
         return (!isRequestSuspect || isRequestRetryAllowed(cutOff.request()))
                 && isRetryAllowed(parts)
-                && cutOff.parts().stream().noneMatch(this::isRepeatedlyBlamed);
+                && cutOff.allParts().stream().noneMatch(this::isRepeatedlyBlamed);
     }
 
     private boolean isExplained(CutOff cutOff) {
         return condemned.contains(cutOff.request())
-                || cutOff.parts().stream().anyMatch(condemned::contains);
+                || cutOff.allParts().stream().anyMatch(condemned::contains);
     }
 
     /** Blames the parts that have not had a complete response. */
     private void blameCircumstantially(CutOff cutOff, boolean explained) {
         Set<String> changed = new HashSet<>();
-        for (String part : cutOff.parts()) {
+        for (String part : cutOff.allParts()) {
             if ((!explained || condemned.contains(part))
                     && !completedMillis.containsKey(part)
                     && table.addCircumstantialEnd(
--- a/jayturn-core/src/test/java/dev/jayturn/core/quarantine/CircumstantialEvidenceTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/quarantine/CircumstantialEvidenceTest.java
@@ -142,6 +142,49 @@
         assertThat(cutOffWithoutHead(List.of("bad"), "u1")).isFalse();
     }
 
+    private boolean cutOffInASession(String session, String upstream, boolean beforeAnEvent) {
+        return quarantine.onCutOff(
+                new CutOff(
+                        "request-" + ++requests,
+                        List.of("a"),
+                        List.of(session),
+                        upstream,
+                        beforeAnEvent,
+                        80,
+                        time.nowMillis() - 80));
+    }
+
+    @Test
+    void partOfASessionIsRefusedWhenItsRequestsEndOneUpstreamAfterTheOther() {
+        for (int i = 0; i < EvidenceTable.CIRCUMSTANTIAL_QUARANTINE_ENDS; i++) {
+            quarantine.onCompleted(List.of("a"));
+            cutOffInASession("session", "u" + i, i % 2 == 0);
+            time.runFor(500);
+            quarantine.onCompleted(List.of("a"));
+        }
+        assertThat(isRefused("session")).isTrue();
+        assertThat(isRefused("a")).isFalse();
+    }
+
+    @Test
+    void completeResponseInASessionClearsItsPart() {
+        for (int i = 0; i < 12; i++) {
+            cutOffInASession("session", "u" + i, true);
+            time.runFor(500);
+            quarantine.onCompleted(List.of("a"));
+            if (i % 2 == 1) {
+                quarantine.clear(List.of("session"));
+            }
+        }
+        assertThat(isRefused("session")).isFalse();
+    }
+
+    @Test
+    void newPartOfItsOwnDoesNotKeepARequestFromASecondUpstream() {
+        quarantine.onCompleted(List.of("a"));
+        assertThat(cutOffInASession("fresh", "u0", true)).isTrue();
+    }
+
     /** One request of the simulation. */
     private record Running(
             String request, List<String> parts, long sentMillis, long endMillis, boolean crashes) {}
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ExchangeLog.java
@@ -157,7 +157,7 @@
                     json.writeBooleanField("responded", attempt.hasResponded());
                     json.writeNumberField("events", eventCount);
                     json.writeArrayFieldStart("parts");
-                    for (String part : profile.sharedPartIds()) {
+                    for (String part : profile.partIds()) {
                         json.writeString(part);
                     }
                     json.writeEndArray();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/QuarantineCheck.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/QuarantineCheck.java
@@ -48,7 +48,7 @@
         if (!quarantine.hasCondemned()) {
             return null;
         }
-        long partMillis = quarantine.refusalMillis(profile.sharedPartIds());
+        long partMillis = quarantine.refusalMillis(profile.partIds());
         if (partMillis > 0) {
             return new Refusal(ResultCode.PROMPT_QUARANTINED, partMillis);
         }
@@ -61,7 +61,7 @@
     /** Records that the request is sent to an upstream. */
     void onSent() {
         if (quarantine.hasCondemned()) {
-            quarantine.onSent(profile.sharedPartIds());
+            quarantine.onSent(profile.partIds());
             quarantine.onSent(List.of(fingerprint()));
         }
     }
@@ -71,6 +71,7 @@
         quarantine.onCompleted(profile.sharedPartIds());
         if (quarantine.hasEvidence()) {
             quarantine.onCompleted(List.of(fingerprint()));
+            quarantine.clear(profile.ownPartIds());
         }
     }
 
@@ -87,6 +88,7 @@
                 new CutOff(
                         fingerprint(),
                         profile.sharedPartIds(),
+                        profile.ownPartIds(),
                         upstream,
                         beforeAnEvent,
                         ranMillis,
