Take orders to empty data centres into the control log

Any control instance takes it and forwards it to the leader; the forwarding that configuration calls had is now LeaderCalls, used by both. It is acknowledged when its entry is applied. An order names the revision that it is based on and has no effect if another came between: a copy that waited behind a cut does not undo a later order. A process that stood still leaves what it then reads unconfirmed. A member of an earlier build cannot read the command, so members name the level of commands that they can apply in AppendReply, and the leader proposes an order only if all reachable voters are at that level; until then it stays unconfirmed (503). FleetUpdate carries the set with the index of the last order. Nothing obeys it yet.

--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Leadership.java
@@ -143,11 +143,22 @@
         MemberSet members = node.memberSet();
         long sinceMillis = timers.nowMillis() - config.electionTimeoutMillis();
         int reachable = 0;
+        int commandLevel = CommandLevel.CURRENT;
         for (Member member : members.list()) {
-            reachable += member.voter() && hasRepliedSince(member.id(), sinceMillis) ? 1 : 0;
+            if (member.voter() && hasRepliedSince(member.id(), sinceMillis)) {
+                reachable++;
+                commandLevel = Math.min(commandLevel, commandLevelOf(member.id()));
+            }
         }
         return new QuorumStatus(
-                members.voterCount(), members.list().size() - members.voterCount(), reachable);
+                members.voterCount(),
+                members.list().size() - members.voterCount(),
+                reachable,
+                commandLevel);
+    }
+
+    private int commandLevelOf(String id) {
+        return id.equals(config.id()) ? CommandLevel.CURRENT : progress(id).commandLevel;
     }
 
     private boolean hasRepliedSince(String id, long sinceMillis) {
@@ -336,6 +347,7 @@
         Progress peer = progress(reply.from());
         peer.lastReplyMillis = timers.nowMillis();
         peer.ackedRound = Math.max(peer.ackedRound, reply.round());
+        peer.commandLevel = reply.commandLevel();
         if (reply.success()) {
             peer.matchIndex = Math.max(peer.matchIndex, reply.index());
             peer.matchRound = Math.max(peer.matchRound, reply.round());
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/Progress.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/Progress.java
@@ -14,6 +14,9 @@
     /** Highest heartbeat round that the member has acknowledged. */
     long ackedRound;
 
+    /** Highest level of the commands that the member can apply, according to its replies. */
+    int commandLevel;
+
     /** Offset of the next snapshot item to send; -1 if no snapshot is being installed. */
     int snapshotOffset = -1;
 
--- a/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/consensus/RaftNode.java
@@ -386,9 +386,7 @@
         long matchIndex = request.prevIndex() + request.entries().size();
         advanceCommit(Math.min(request.commit(), matchIndex));
         // The request itself, with its entries, must not stay in memory until the disk has synced.
-        AppendReply reply =
-                new AppendReply(
-                        config.id(), request.from(), term(), true, matchIndex, request.round());
+        AppendReply reply = AppendReply.to(request, term(), true, matchIndex);
         log.whenDurable(() -> sendIfCurrent(reply));
     }
 
@@ -399,10 +397,7 @@
     }
 
     private void replyAppend(AppendRequest request, boolean success, long index) {
-        AppendReply reply =
-                new AppendReply(
-                        config.id(), request.from(), term(), success, index, request.round());
-        transport.send(request.from(), reply);
+        transport.send(request.from(), AppendReply.to(request, term(), success, index));
     }
 
     private void followLeader(long term, String from) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ConfigurationCallHandler.java
@@ -1,11 +1,11 @@
 package dev.jayturn.core.fleet;
 
+import dev.jayturn.core.consensus.LeaderCalls;
 import dev.jayturn.core.consensus.ProposalCallback;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.timer.TimerService;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.core.transport.Transport;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -14,40 +14,43 @@
  * leader, executes the forwarded calls.
  */
 final class ConfigurationCallHandler {
-    /** Operators' clients try another control instance after 1 s without an answer. */
-    private static final long CALL_TIMEOUT_MILLIS = 900;
-
-    private static final long RETRY_INTERVAL_MILLIS = 150;
-
     private final String self;
     private final RaftNode raft;
     private final FleetState state;
     private final Transport transport;
-    private final TimerService timers;
     private final Consumer<Map<String, Long>> budgetListener;
-    private final Map<Long, PendingCall> pending = new HashMap<>();
+    private final LeaderCalls<PendingCall> calls;
     private ConfigurationListener listener = ConfigurationListener.NONE;
-    private long lastId;
 
-    private static final class PendingCall {
-        final long deadlineMillis;
+    private final class PendingCall implements LeaderCalls.Call {
         final PutConfiguration put;
         final ConfigurationCallback callback;
-        String sentTo = "";
-        String reason = "no-leader";
 
-        PendingCall(long deadlineMillis, PutConfiguration put, ConfigurationCallback callback) {
-            this.deadlineMillis = deadlineMillis;
+        PendingCall(PutConfiguration put, ConfigurationCallback callback) {
             this.put = put;
             this.callback = callback;
         }
+
+        @Override
+        public void sendTo(String leader, long id) {
+            listener.onCallForwarded(id, put.version(), leader);
+            byte[] document = put.version() == 0 ? null : put.document();
+            transport.send(
+                    leader,
+                    new ConfigurationCall(self, id, put.version(), document, put.prepaid()));
+        }
+
+        @Override
+        public void onUnconfirmed(long id, String reason) {
+            listener.onCallUnconfirmed(id, put.version(), reason, raft.leader());
+            callback.onUnconfirmed();
+        }
     }
 
     /**
      * Creates a handler.
      *
-     * @param epoch differs after each restart of the process. The calls are numbered from it, so
-     *     that a late answer to a call of a former process answers none of this one.
+     * @param epoch differs after each restart of the process
      * @param budgetListener gets the prepaid tokens of each configuration that this instance, as
      *     the leader, has just proposed
      */
@@ -63,9 +66,8 @@
         this.raft = raft;
         this.state = state;
         this.transport = transport;
-        this.timers = timers;
         this.budgetListener = budgetListener;
-        this.lastId = epoch << Integer.SIZE;
+        this.calls = new LeaderCalls<>(epoch, raft, timers);
     }
 
     void setListener(ConfigurationListener newListener) {
@@ -74,34 +76,7 @@
 
     /** Puts a configuration in force; version 0 reads the newest one. */
     void submit(PutConfiguration put, ConfigurationCallback callback) {
-        long id = ++lastId;
-        pending.put(id, new PendingCall(timers.nowMillis() + CALL_TIMEOUT_MILLIS, put, callback));
-        sendToLeader(id);
-    }
-
-    private void sendToLeader(long id) {
-        PendingCall call = pending.get(id);
-        if (call == null) {
-            return;
-        }
-        if (timers.nowMillis() >= call.deadlineMillis) {
-            pending.remove(id);
-            listener.onCallUnconfirmed(id, call.put.version(), call.reason, raft.leader());
-            call.callback.onUnconfirmed();
-            return;
-        }
-        String leader = raft.leader();
-        if (!leader.isEmpty() && !leader.equals(call.sentTo)) {
-            call.sentTo = leader;
-            call.reason = "unanswered";
-            listener.onCallForwarded(id, call.put.version(), leader);
-            PutConfiguration put = call.put;
-            byte[] document = put.version() == 0 ? null : put.document();
-            transport.send(
-                    leader,
-                    new ConfigurationCall(self, id, put.version(), document, put.prepaid()));
-        }
-        timers.schedule(RETRY_INTERVAL_MILLIS, () -> sendToLeader(id));
+        calls.submit(new PendingCall(put, callback));
     }
 
     boolean handle(Message message) {
@@ -151,18 +126,16 @@
     }
 
     private void onAnswer(ConfigurationAnswer answer) {
-        PendingCall call = pending.get(answer.id());
+        PendingCall call = calls.find(answer.id());
         if (call == null) {
             return;
         }
         listener.onCallAnswered(answer);
         if (!answer.sure()) {
-            // Allows the next attempt to resend, to this leader or to another one.
-            call.sentTo = "";
-            call.reason = "unsure";
+            calls.onUnsure(answer.id());
             return;
         }
-        pending.remove(answer.id());
+        calls.remove(answer.id());
         call.callback.onConfirmed(new ConfigurationDocument(answer.version(), answer.document()));
     }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/ControlInstance.java
@@ -4,6 +4,7 @@
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.directory.UpstreamTable;
+import dev.jayturn.core.evacuation.EvacuationCallHandler;
 import dev.jayturn.core.quarantine.EvidenceShare;
 import dev.jayturn.core.quarantine.EvidenceSharing;
 import dev.jayturn.core.quarantine.EvidenceTable;
@@ -61,20 +62,6 @@
      */
     private static final long TABLE_RESEND_MILLIS = 2_000;
 
-    /**
-     * Time after which the configuration or the list of peers is sent again to an entry instance
-     * that still lacks it.
-     */
-    private static final long RESEND_MILLIS = 600;
-
-    /**
-     * After this number of copies the configuration is sent again less and less often: it waits on
-     * a slow link behind the former ones, or the entry instance cannot apply it.
-     */
-    private static final int DOCUMENTS_AT_FULL_RATE = 3;
-
-    private static final long MAX_RESEND_MILLIS = 2_000;
-
     /**
      * If a report shows that nothing has arrived this time after the first update, that update is
      * sent again. It was lost if it went to the connection of a process that had ended.
@@ -89,6 +76,7 @@
     private final TimerService timers;
     private final WallClock wallClock;
     private final ConfigurationCallHandler configurationCalls;
+    private final EvacuationCallHandler evacuationCalls;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final SliceCoordinator sliceCoordinator;
     private final EvidenceTable evidence = new EvidenceTable();
@@ -140,6 +128,8 @@
                         transport,
                         timers,
                         prepaid -> sliceCoordinator.issueGrowth(prepaid, liveEntries(), peers));
+        this.evacuationCalls =
+                new EvacuationCallHandler(self, epoch, raft, state.evacuation(), transport, timers);
         this.evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, this::liveInstances);
         this.rateSharing =
@@ -165,7 +155,9 @@
             evidenceSharing.onChanged(evidence.merge(share, timers.nowMillis()));
         } else if (message instanceof RateShare share) {
             rateSharing.onShare(share);
-        } else if (!streamOrigins.handle(message) && !configurationCalls.handle(message)) {
+        } else if (!streamOrigins.handle(message)
+                && !configurationCalls.handle(message)
+                && !evacuationCalls.handle(message)) {
             raft.handle(message);
         }
     }
@@ -204,6 +196,11 @@
         configurationCalls.submit(new PutConfiguration(0, new byte[0], Map.of()), callback);
     }
 
+    /** Returns the handler of the orders to empty a data centre or to take it back. */
+    public EvacuationCallHandler evacuationCalls() {
+        return evacuationCalls;
+    }
+
     /** Sets the control instances that this one asks to join the quorum. */
     public void setSeeds(List<String> addresses) {
         raft.setSeeds(addresses);
@@ -427,14 +424,16 @@
                 peersToSend(entry, now),
                 Math.max(peers.size(), liveEntries().size()),
                 configuration.version(),
-                retired ? null : documentToSend(entry, configuration, now),
+                retired ? null : entry.documentToSend(configuration, now),
                 epoch,
                 since,
                 upstreams.revision(),
                 upstreams.changedSince(since),
                 state.slices().lease(entry.holder) != null,
                 grants,
-                entry.lastReportSentMillis);
+                entry.lastReportSentMillis,
+                state.evacuation().revision(),
+                state.evacuation().emptied());
     }
 
     /**
@@ -443,7 +442,9 @@
      */
     private @Nullable List<Peer> peersToSend(EntryInstanceState entry, long now) {
         int hash = peers.hashCode();
-        boolean sent = entry.sentPeersHash == hash && now - entry.sentPeersMillis < RESEND_MILLIS;
+        boolean sent =
+                entry.sentPeersHash == hash
+                        && now - entry.sentPeersMillis < EntryInstanceState.RESEND_MILLIS;
         if (entry.knownPeersHash == hash || sent || !raft.isLeader()) {
             return null;
         }
@@ -452,32 +453,6 @@
         return peers;
     }
 
-    /**
-     * Returns the configuration and records it as sent; null if the entry instance has it or was
-     * sent it recently.
-     */
-    private static byte @Nullable [] documentToSend(
-            EntryInstanceState entry, ConfigurationDocument configuration, long now) {
-        boolean sent =
-                entry.sentDocumentVersion == configuration.version()
-                        && now - entry.sentDocumentMillis < documentResendMillis(entry);
-        if (entry.configurationVersion >= configuration.version() || sent) {
-            return null;
-        }
-        entry.sentDocumentCount =
-                entry.sentDocumentVersion == configuration.version()
-                        ? entry.sentDocumentCount + 1
-                        : 1;
-        entry.sentDocumentVersion = configuration.version();
-        entry.sentDocumentMillis = now;
-        return configuration.document();
-    }
-
-    private static long documentResendMillis(EntryInstanceState entry) {
-        int doublings = Math.max(0, entry.sentDocumentCount - DOCUMENTS_AT_FULL_RATE);
-        return Math.min(RESEND_MILLIS << Math.min(doublings, Integer.SIZE), MAX_RESEND_MILLIS);
-    }
-
     /**
      * Returns the revision after which changes are sent to an entry instance, and records the
      * current one as sent. Changes that were sent count as received until their confirmation is
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstanceState.java
@@ -4,6 +4,7 @@
 import dev.jayturn.core.slice.SliceStatus;
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What a control instance knows about one entry instance, from its reports and from the updates
@@ -13,6 +14,20 @@
     /** Later than any time, and not so late that sums with it overflow. */
     private static final long NEVER = Long.MAX_VALUE / 2;
 
+    /**
+     * Time after which the configuration or the list of peers is sent again to an entry instance
+     * that still lacks it.
+     */
+    static final long RESEND_MILLIS = 600;
+
+    /**
+     * After this number of copies the configuration is sent again less and less often: it waits on
+     * a slow link behind the former ones, or the entry instance cannot apply it.
+     */
+    private static final int DOCUMENTS_AT_FULL_RATE = 3;
+
+    private static final long MAX_RESEND_MILLIS = 2_000;
+
     String holder = "";
     String dataCentre = "";
     long lastReportMillis;
@@ -117,4 +132,27 @@
             sliceStatuses.put(status.customer(), status);
         }
     }
+
+    /**
+     * Returns the configuration and records it as sent; null if the entry instance has it or was
+     * sent it recently.
+     */
+    byte @Nullable [] documentToSend(ConfigurationDocument configuration, long nowMillis) {
+        boolean sent =
+                sentDocumentVersion == configuration.version()
+                        && nowMillis - sentDocumentMillis < documentResendMillis();
+        if (configurationVersion >= configuration.version() || sent) {
+            return null;
+        }
+        sentDocumentCount =
+                sentDocumentVersion == configuration.version() ? sentDocumentCount + 1 : 1;
+        sentDocumentVersion = configuration.version();
+        sentDocumentMillis = nowMillis;
+        return configuration.document();
+    }
+
+    private long documentResendMillis() {
+        int doublings = Math.max(0, sentDocumentCount - DOCUMENTS_AT_FULL_RATE);
+        return Math.min(RESEND_MILLIS << Math.min(doublings, Integer.SIZE), MAX_RESEND_MILLIS);
+    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetState.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetState.java
@@ -2,6 +2,9 @@
 
 import dev.jayturn.core.consensus.Command;
 import dev.jayturn.core.consensus.StateMachine;
+import dev.jayturn.core.evacuation.EvacuationOrder;
+import dev.jayturn.core.evacuation.EvacuationStored;
+import dev.jayturn.core.evacuation.EvacuationTable;
 import dev.jayturn.core.journal.JournalRecord;
 import dev.jayturn.core.slice.SliceChange;
 import dev.jayturn.core.slice.SliceTable;
@@ -9,14 +12,21 @@
 import java.util.List;
 import java.util.Map;
 
-/** The replicated state of the control instances: the configuration in force and the slices. */
+/**
+ * The replicated state of the control instances: the configuration in force, the slices and the
+ * emptied data centres.
+ */
 public final class FleetState implements StateMachine {
     private final SliceTable slices = new SliceTable();
+    private final EvacuationTable evacuation = new EvacuationTable();
     private ConfigurationDocument configuration = ConfigurationDocument.NONE;
     private Runnable onConfigurationChange = () -> {};
     private Runnable onSlicesChange = () -> {};
 
-    /** Sets the listeners that run after each change of the configuration and of the slices. */
+    /**
+     * Sets the listeners that run after each change of the configuration or of the emptied data
+     * centres, and of the slices.
+     */
     public void setListeners(Runnable configurationListener, Runnable slicesListener) {
         onConfigurationChange = configurationListener;
         onSlicesChange = slicesListener;
@@ -32,6 +42,11 @@
         return slices;
     }
 
+    /** Returns the replicated set of emptied data centres. */
+    public EvacuationTable evacuation() {
+        return evacuation;
+    }
+
     @Override
     public Object apply(long index, Command command) {
         if (command instanceof PutConfiguration put && put.version() > configuration.version()) {
@@ -41,6 +56,10 @@
         } else if (command instanceof SliceChange change) {
             slices.apply(change);
             onSlicesChange.run();
+        } else if (command instanceof EvacuationOrder order) {
+            boolean applied = evacuation.apply(index, order);
+            onConfigurationChange.run();
+            return applied;
         }
         return configuration.version();
     }
@@ -51,6 +70,7 @@
         items.add(
                 new ConfigurationStored(
                         configuration.version(), configuration.document(), slices.prepaid()));
+        items.addAll(evacuation.snapshot());
         items.addAll(slices.snapshot());
         return items;
     }
@@ -60,10 +80,13 @@
         configuration = ConfigurationDocument.NONE;
         slices.setPrepaid(Map.of());
         slices.clear();
+        evacuation.clear();
         for (JournalRecord item : items) {
             if (item instanceof ConfigurationStored stored) {
                 configuration = new ConfigurationDocument(stored.version(), stored.document());
                 slices.setPrepaid(stored.prepaid());
+            } else if (item instanceof EvacuationStored stored) {
+                evacuation.restore(stored);
             } else {
                 slices.restore(item);
             }
--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/FleetUpdate.java
@@ -30,6 +30,9 @@
  * @param grants slices; sent by the leader only
  * @param answeredMillis when the entry instance sent the last report that the sender had got, on
  *     the monotonic clock of the entry instance, in milliseconds; 0 if that is not known
+ * @param evacuationRevision index of the last order about emptied data centres that the sender has
+ *     applied
+ * @param emptied the emptied data centres; null in updates of instances that do not send them
  */
 public record FleetUpdate(
         String from,
@@ -47,5 +50,7 @@
         List<Heartbeat> upstreams,
         boolean leaseKept,
         List<SliceGrant> grants,
-        long answeredMillis)
+        long answeredMillis,
+        long evacuationRevision,
+        @Nullable List<String> emptied)
         implements Message {}
--- a/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
@@ -44,6 +44,10 @@
             503,
             "this instance uses its part of the connections to every upstream; another one may have"
                     + " some left"),
+    DATA_CENTRES_EMPTIED(
+            4021,
+            503,
+            "the upstreams that could serve this request are in data centres that were emptied"),
     CLAIM_IN_PROGRESS(5001, 409, "a call with this key is in progress"),
     OUTCOME_UNKNOWN(5002, 409, "whether the call ran is not known"),
     OUTCOME_RECORDED(5004, 200, "the call ran before; this is its recorded answer"),
@@ -67,6 +71,8 @@
     CONFIGURATION_NO_WEIGHT(6204, 400, "the weights of a route add up to 0"),
     CONFIGURATION_NO_TIMEOUT(6205, 400, "the timeout of a route is 0"),
     CONFIGURATION_SHARED_KEY(6206, 400, "two customers share a key"),
+    EVACUATION_MALFORMED(
+            6301, 400, "the name of the data centre is malformed, or the call has a body"),
     SETTING_UNKNOWN(7001, 400, "the setting is unknown"),
     SETTING_BAD_VALUE(7002, 400, "the setting's value is malformed or out of range"),
     SETTING_MISSING(7003, 400, "a required setting is missing"),
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/EntryInstanceLeaseTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/EntryInstanceLeaseTest.java
@@ -73,7 +73,9 @@
                         List.of(),
                         leaseKept,
                         List.of(),
-                        0));
+                        0,
+                        0,
+                        List.of()));
     }
 
     private boolean isLimitedToMarks() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -9,6 +9,7 @@
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.evacuation.EvacuationCallback;
 import dev.jayturn.core.fleet.ConfigurationCallback;
 import dev.jayturn.core.fleet.ConfigurationDocument;
 import dev.jayturn.core.fleet.ControlInstance;
@@ -169,6 +170,7 @@
                         this::logRetirement,
                         new QuorumLog(log));
         controlInstance.setConfigurationListener(new ConfigurationLog(log));
+        controlInstance.evacuationCalls().setListener(new EvacuationLog(log));
         StuckLeaderCheck.start(timers, raft, journal, this::logResignation);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
         HttpApiServer.forDocuments(loop, apiHandler)
@@ -226,6 +228,10 @@
                 () -> requireStarted().lowestEntryVersion().orElse(0));
         metrics.registerGauge(
                 "jayturn.configuration.entries.behind", () -> requireStarted().entriesBehind());
+        metrics.registerGauge(
+                "jayturn.evacuation.emptied", () -> fleetState.evacuation().emptied().size());
+        metrics.registerGauge(
+                "jayturn.evacuation.revision", () -> fleetState.evacuation().revision());
         metrics.registerGauge("jayturn.streams.recorded", this::recordedStreams);
         metrics.registerGauge("jayturn.slice.holders", () -> fleetState.slices().holders().size());
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
@@ -378,6 +384,11 @@
         return tokensByCustomer;
     }
 
+    /** Empties a data centre, so that its upstreams get no more requests, or takes it back. */
+    public void orderEvacuation(String dataCentre, boolean emptied, EvacuationCallback callback) {
+        requireStarted().evacuationCalls().submit(dataCentre, emptied, callback);
+    }
+
     /** Reads the newest document that a quorum confirms. */
     public void readConfiguration(ReadCallback callback) {
         requireStarted()
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenReservationTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenReservationTest.java
@@ -78,7 +78,9 @@
                         List.of(),
                         true,
                         List.of(new SliceGrant("roy", issued, mark, budgetRemaining, 0)),
-                        0));
+                        0,
+                        0,
+                        List.of()));
     }
 
     private TokenReservation reserve(long tokens) {
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -63,6 +63,10 @@
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.dispatch.LoadShare;
 import dev.jayturn.core.dispatch.UpstreamWork;
+import dev.jayturn.core.evacuation.EvacuationAnswer;
+import dev.jayturn.core.evacuation.EvacuationCall;
+import dev.jayturn.core.evacuation.EvacuationOrder;
+import dev.jayturn.core.evacuation.EvacuationStored;
 import dev.jayturn.core.fleet.ConfigurationAnswer;
 import dev.jayturn.core.fleet.ConfigurationCall;
 import dev.jayturn.core.fleet.ConfigurationStored;
@@ -185,6 +189,10 @@
                     ConfigurationCall.class,
                     ConfigurationAnswer.class,
                     HeartbeatShare.class,
+                    EvacuationOrder.class,
+                    EvacuationStored.class,
+                    EvacuationCall.class,
+                    EvacuationAnswer.class,
                     SliceChange.class,
                     SliceStored.class,
                     ConsumedStored.class,
--- a/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
+++ b/jayturn-wire/src/test/java/dev/jayturn/wire/MessageCodecTest.java
@@ -7,10 +7,12 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import dev.jayturn.core.consensus.AppendReply;
 import dev.jayturn.core.consensus.AppendRequest;
 import dev.jayturn.core.consensus.LogEntry;
 import dev.jayturn.core.consensus.Member;
 import dev.jayturn.core.consensus.MemberChange;
+import dev.jayturn.core.consensus.SnapshotItem;
 import dev.jayturn.core.control.CallOutcome;
 import dev.jayturn.core.control.ControlAnswer;
 import dev.jayturn.core.control.ControlOutcome;
@@ -18,7 +20,12 @@
 import dev.jayturn.core.control.CreditShare;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.directory.UpstreamState;
+import dev.jayturn.core.evacuation.EvacuationAnswer;
+import dev.jayturn.core.evacuation.EvacuationCall;
+import dev.jayturn.core.evacuation.EvacuationOrder;
+import dev.jayturn.core.evacuation.EvacuationStored;
 import dev.jayturn.core.fleet.ConfigurationAnswer;
+import dev.jayturn.core.fleet.FleetUpdate;
 import dev.jayturn.core.fleet.HeartbeatShare;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.OriginAnswer;
@@ -154,4 +161,32 @@
                                                 2,
                                                 ""))));
     }
+
+    @Test
+    void ordersAboutDataCentresRoundTrip() throws IOException {
+        LogEntry entry = new LogEntry(7, 2, new EvacuationOrder("kokura-1", true, 5));
+        assertThat(MessageCodec.decodeRecord(MessageCodec.encode(entry))).isEqualTo(entry);
+        SnapshotItem stored = new SnapshotItem(new EvacuationStored(7, List.of("kokura-1")));
+        assertThat(MessageCodec.decodeRecord(MessageCodec.encode(stored))).isEqualTo(stored);
+        EvacuationCall call = new EvacuationCall("a", 9, "kokura-1", false, 7);
+        assertThat(MessageCodec.decodeMessage(MessageCodec.encode(call))).isEqualTo(call);
+        EvacuationAnswer answer = new EvacuationAnswer(9, true, false, 8, "b");
+        assertThat(MessageCodec.decodeMessage(MessageCodec.encode(answer))).isEqualTo(answer);
+    }
+
+    private record OlderUpdate(@JsonProperty("@") String type, String from, String holder) {}
+
+    private record OlderReply(@JsonProperty("@") String type, String from, boolean success) {}
+
+    @Test
+    void olderInstancesSayNothingOfEmptiedDataCentres() throws IOException {
+        ObjectMapper mapper = new CBORMapper();
+        byte[] update = mapper.writeValueAsBytes(new OlderUpdate("FleetUpdate", "a", "b"));
+        assertThat(MessageCodec.decodeMessage(update))
+                .isInstanceOfSatisfying(FleetUpdate.class, u -> assertThat(u.emptied()).isNull());
+        byte[] reply = mapper.writeValueAsBytes(new OlderReply("AppendReply", "a", true));
+        assertThat(MessageCodec.decodeMessage(reply))
+                .isInstanceOfSatisfying(
+                        AppendReply.class, r -> assertThat(r.commandLevel()).isZero());
+    }
 }
