Send no requests to emptied data centres

It is applied before the configuration, without which an instance serves nothing, so one that has started begins with the set of the control instance that it starts from. It is a filter of the dispatcher, so first tries, retries and resumptions obey it alike; a request whose connection is being opened when the set changes is withdrawn and goes elsewhere, and those that wait for permits are decided again at once. What runs there ends in its time. Event evacuation.applied, gauges jayturn.evacuation.emptied and .revision. This build sends upstreams no health checks or warm-up requests, so there is nothing else to stop. Not covered by a test of its own: the withdrawal while a connection is being opened.

--- a/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/fleet/EntryInstance.java
@@ -2,6 +2,7 @@
 
 import dev.jayturn.core.directory.DirectoryFreshness;
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.evacuation.EvacuationView;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.slice.SliceAccounts;
@@ -71,6 +72,7 @@
     private String leader = "";
     private long lastLeaderUpdateMillis = Long.MIN_VALUE / 2;
     private final AppliedConfiguration configuration;
+    private final EvacuationView evacuation = new EvacuationView();
     private int entryCount = 1;
     private String entryCountSource = "";
     private IntConsumer entryCountListener = count -> {};
@@ -173,6 +175,11 @@
         return configuration.newestVersion();
     }
 
+    /** Returns the emptied data centres that this instance knows. */
+    public EvacuationView evacuation() {
+        return evacuation;
+    }
+
     /** Returns the number of live entry instances in the last update, at least 1. */
     public int entryCount() {
         return entryCount;
@@ -351,7 +358,9 @@
             promisedAt = readClock();
             leaseCommitted |= update.leaseKept();
         }
-        // First, so that nothing else in the update can keep the configuration from being applied.
+        // Before the configuration, since an instance without one serves nothing.
+        evacuation.onUpdate(update.evacuationRevision(), update.emptied());
+        // Before the upstreams, so that none of them can keep it from being applied.
         configuration.onVersion(update.version());
         byte[] document = update.document();
         if (document != null) {
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -286,6 +286,7 @@
                             source);
             originGuard = new StaleOriginGuard(origins, upstreams::versionChanges);
             dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
+            dispatcher.addFilter(instance.evacuation());
             process.onMessage((to, message) -> receive(message));
         }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -193,6 +193,7 @@
         streamOrigins = origins;
         originGuard = new StaleOriginGuard(origins, upstreamRegistry::versionChanges);
         forwarder.setEntryInstance(entry, loads, limiter, origins);
+        entry.evacuation().setListener(this::onEmptied);
         EvidenceSharing evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, entry::controlAddresses);
         quarantine.setSharing(evidenceSharing::onChanged);
@@ -216,6 +217,8 @@
         metrics.registerGauge("jayturn.link.received.share", linkLimiter::receivedShare);
         metrics.registerGauge("jayturn.upstreams", () -> upstreamRegistry.all().size());
         metrics.registerGauge("jayturn.upstreams.limited", limiter::limitedUpstreams);
+        metrics.registerGauge("jayturn.evacuation.emptied", entry.evacuation()::emptiedCount);
+        metrics.registerGauge("jayturn.evacuation.revision", entry.evacuation()::revision);
         metrics.registerGauge("jayturn.parts.quarantined", quarantine::condemnedCount);
         metrics.registerGauge("jayturn.instances", entry::entryCount);
         metrics.registerGauge("jayturn.control.in.touch", () -> entry.isLeaderReachable() ? 1 : 0);
@@ -314,6 +317,17 @@
         }
     }
 
+    private void onEmptied(long revision, List<String> dataCentres) {
+        // Requests that wait for permits of upstreams there go elsewhere or are refused.
+        forwarder.onPermits();
+        log.event(
+                "evacuation.applied",
+                json -> {
+                    json.writeNumberField("revision", revision);
+                    json.writeStringField("dataCentres", String.join(",", dataCentres));
+                });
+    }
+
     private long obeyedVersion() {
         RouteTable table = routeTable;
         return table == null ? 0 : table.configuration().version();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -119,6 +119,7 @@
         retryBudgets.setEntryInstance(instance);
         dispatcher.setRateLimits(limiter);
         dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
+        dispatcher.addFilter(instance.evacuation());
     }
 
     /** Returns whether this instance knows the upstreams as they are now. */
@@ -337,7 +338,10 @@
 
     /** Returns whether an upstream that was chosen before still accepts requests. */
     boolean acceptsRequests(UpstreamLoad upstream) {
-        return upstreams.isReady(upstream)
+        EntryInstance instance = entryInstance;
+        return instance != null
+                && !instance.evacuation().isEmptied(upstream.heartbeat().dataCentre())
+                && upstreams.isReady(upstream)
                 && upstream.remainingPauseMillis(timers.nowMillis()) == 0;
     }
 
