Play crashing parts without response heads in a virtual fleet

CrashingPartTest ended upstreams after the head only. Each of its six cases now runs without heads, too, with 10, 30 and 100 entry instances, lost messages, restarts of an entry instance and of all control instances. The checks are as they were.

--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/CrashingPartTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/CrashingPartTest.java
@@ -23,6 +23,7 @@
     private VirtualFleet fleet;
     private Random random;
     private final List<Long> crashMillis = new ArrayList<>();
+    private boolean headReceived;
     private int soundRequests;
     private int refusedSoundRequests;
 
@@ -54,9 +55,9 @@
                 100, () -> cutOff(neighbour, soundRequest, soundParts, upstream, sent));
     }
 
-    private static void cutOff(
+    private void cutOff(
             VirtualEntry entry, String request, List<String> parts, String upstream, long sent) {
-        entry.quarantine.onCutOff(new CutOff(request, parts, upstream, true, 100, sent));
+        entry.quarantine.onCutOff(new CutOff(request, parts, upstream, headReceived, 100, sent));
     }
 
     private void sendSound() {
@@ -82,8 +83,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"1, 10", "2, 10", "3, 30", "4, 30", "5, 100", "6, 100"})
-    void partThatCrashesUpstreamsIsRefusedEverywhereWithinSeconds(long seed, int entries) {
+    @CsvSource({
+        "1, 10, true",
+        "2, 10, true",
+        "3, 30, true",
+        "4, 30, true",
+        "5, 100, true",
+        "6, 100, true",
+        "1, 10, false",
+        "2, 10, false",
+        "3, 30, false",
+        "4, 30, false",
+        "5, 100, false",
+        "6, 100, false"
+    })
+    void partThatCrashesUpstreamsIsRefusedEverywhereWithinSeconds(
+            long seed, int entries, boolean withHead) {
+        headReceived = withHead;
         random = new Random(seed);
         fleet = new VirtualFleet(seed, 3, entries);
         fleet.network.setFaults(0.02, 0.01, 5);
