Bound the memory of all heads of requests together

What callers saw: clients whose requests have legal sizes and consist of thousands of short lines ended a process, and with it everybody's requests.

Cause: a decoded line occupies many times its length, and only the bytes of each single head had a bound. Requests behind one that runs were decoded in advance, and pipelined requests to operators' and metrics addresses were all handled at once.

Counter by address, gauge, log line heads.short. PipelinedMessages needs no bound any more, since no message is decoded while its connection waits.

Not covered: heads of upstreams' responses, the product's own servers (CallerServer, AdminServer), and the sum of undecoded bytes in direct memory.

--- a/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
@@ -22,6 +22,7 @@
     DEADLINE_UNREACHABLE(3004, 503, "the request cannot be served before its deadline"),
     LINK_FULL(3005, 503, "the network link of this instance is full; another one may have room"),
     MEMORY_FULL(3006, 503, "this instance has no memory for the body; another one may have"),
+    HEADS_FULL(3007, 503, "this instance has no memory for the headers; another one may have"),
     NO_UPSTREAM(4001, 503, "no upstream of this service is available"),
     UPSTREAM_FAILED(4002, 502, "the upstream failed before the answer was whole"),
     UPSTREAM_TIMEOUT(4003, 504, "the upstream did not answer in time"),
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ApiBodyLimiter.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ApiBodyLimiter.java
@@ -31,12 +31,31 @@
     private long claimedBytes;
     private long receivedBytes;
     private @Nullable ChannelFuture refusal;
+    private @Nullable ChannelHandlerContext context;
 
     ApiBodyLimiter(MemoryBudget budget, int maxBodyBytes) {
         this.budget = budget;
         this.maxBodyBytes = maxBodyBytes;
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    boolean isRefusing() {
+        return refusal != null;
+    }
+
+    /** Refuses the request, of which nothing more will come, and closes the connection. */
+    void refuse(long retryAfterMillis) {
+        ChannelHandlerContext ctx = context;
+        if (ctx != null && refusal == null) {
+            release();
+            refuse(ctx, retryAfterMillis);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (refusal == null && message instanceof HttpRequest head) {
@@ -78,12 +97,12 @@
 
                             @Override
                             public void onRejected(long retryAfterMillis) {
-                                refuse(ctx);
+                                refuse(ctx, 0);
                             }
                         });
     }
 
-    private void refuse(ChannelHandlerContext ctx) {
+    private void refuse(ChannelHandlerContext ctx, long retryAfterMillis) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -92,6 +111,9 @@
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (retryAfterMillis > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterMillis / 1_000);
+        }
         ChannelFuture sent = ctx.writeAndFlush(response);
         refusal = sent;
         sent.addListener(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -22,6 +22,7 @@
 import dev.jayturn.core.slice.SliceRetirement;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
+import dev.jayturn.daemon.head.HeadMemory;
 import dev.jayturn.daemon.journal.FileJournal;
 import dev.jayturn.daemon.journal.JournalCorruptException;
 import dev.jayturn.daemon.journal.StoreIdentity;
@@ -69,6 +70,7 @@
     private final ConfigurationCodec codec;
     private final EventLog log;
     private final FleetMetrics metrics = new FleetMetrics();
+    private final HeadMemory headMemory;
     private final FleetState fleetState = new FleetState();
     private @Nullable ControlInstance controlInstance;
     private @Nullable RaftNode member;
@@ -100,6 +102,8 @@
         this.loop = loop;
         this.codec = codec;
         this.log = log;
+        this.headMemory =
+                new HeadMemory(settings.number(SettingKey.FLEET_HEADER_MEMORY), log, metrics);
     }
 
     /**
@@ -171,7 +175,7 @@
         controlInstance.setConfigurationListener(new ConfigurationLog(log));
         StuckLeaderCheck.start(timers, raft, journal, this::logResignation);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
-        HttpApiServer.forDocuments(loop, apiHandler)
+        HttpApiServer.forDocuments(loop, apiHandler, headMemory)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
         serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
         logStart(self, storeId, raft);
@@ -229,7 +233,8 @@
         metrics.registerGauge("jayturn.streams.recorded", this::recordedStreams);
         metrics.registerGauge("jayturn.slice.holders", () -> fleetState.slices().holders().size());
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
-        new HttpApiServer(loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics))
+        new HttpApiServer(
+                        loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics), headMemory)
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -31,6 +31,7 @@
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
+import dev.jayturn.daemon.head.HeadMemory;
 import dev.jayturn.daemon.link.EventLoopTimers;
 import dev.jayturn.daemon.link.LinkMeter;
 import dev.jayturn.daemon.link.LinkTransport;
@@ -91,6 +92,7 @@
     private final EventLog log;
     private final EventLoopTimers timers;
     private final Forwarder forwarder;
+    private final HeadMemory headMemory;
     private final ProxyServer proxyServer;
     private final RandomSource random = new ThreadLocalRandomSource();
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -138,7 +140,9 @@
                         quarantine,
                         retryBounds(settings),
                         FleetSettings.sourceAddress(settings));
-        this.proxyServer = new ProxyServer(loop, forwarder);
+        this.headMemory =
+                new HeadMemory(settings.number(SettingKey.FLEET_HEADER_MEMORY), log, metrics);
+        this.proxyServer = new ProxyServer(loop, forwarder, headMemory);
     }
 
     private static Forwarder.RetryBounds retryBounds(Settings settings) {
@@ -198,7 +202,7 @@
         quarantine.setSharing(evidenceSharing::onChanged);
         quarantine.setTrustedParts(settings.list(SettingKey.FLEET_TRUSTED_PARTS));
         proxyServer.accept(ServerSockets.open(settings.address(SettingKey.FLEET_CALLERS)));
-        new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler)
+        new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler, headMemory)
                 .listen(settings.address(SettingKey.FLEET_READY));
         serveMetrics(entry, limiter);
         log.event("entry.started", json -> json.writeStringField("instance", self));
@@ -225,7 +229,8 @@
         metrics.registerGauge(
                 "jayturn.directory.current", () -> entry.isDirectoryCurrent() ? 1 : 0);
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
-        new HttpApiServer(loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics))
+        new HttpApiServer(
+                        loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics), headMemory)
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
@@ -72,6 +72,13 @@
                 .increment();
     }
 
+    /**
+     * Counts a request that was refused because of its head's memory, by the address it came to.
+     */
+    public void recordRefusedHead(String part) {
+        count("jayturn.heads.refused", "part", part, 1);
+    }
+
     /** Counts a message sent to another instance, by message type. */
     public void recordSentMessage(String messageType, int bytes) {
         count("jayturn.link.sent.messages", "message", messageType, 1);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -4,6 +4,9 @@
 import dev.jayturn.core.configuration.RequestLimits;
 import dev.jayturn.core.limits.MemoryBudget;
 import dev.jayturn.core.result.ResultCode;
+import dev.jayturn.daemon.head.HeadMemory;
+import dev.jayturn.daemon.head.RequestCodec;
+import dev.jayturn.daemon.head.RequestGate;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelFuture;
@@ -11,28 +14,26 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.internal.OutOfDirectMemoryError;
 import java.io.IOException;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import org.jspecify.annotations.Nullable;
 
 /** A connection of a caller; its requests are processed one at a time, in order. */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements MemoryBudget.Callback {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements MemoryBudget.Callback, RequestGate {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Time in which a body has to arrive if the caller does not say how long it waits. */
@@ -52,6 +53,7 @@
     private final BodyParts output = new BodyParts();
     private final PipelinedMessages pipelinedMessages = new PipelinedMessages();
     private @Nullable ChannelHandlerContext context;
+    private @Nullable RequestCodec codec;
     private @Nullable HttpRequest head;
     private @Nullable CallerRequest request;
     private @Nullable RequestBody body;
@@ -69,6 +71,14 @@
         this.server = server;
     }
 
+    void setCodec(RequestCodec newCodec) {
+        codec = newCodec;
+    }
+
+    private RequestCodec codec() {
+        return Objects.requireNonNull(codec);
+    }
+
     ByteBufAllocator allocator() {
         return context().alloc();
     }
@@ -155,9 +165,6 @@
         }
         if (isBusy() || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(message);
-            if (pipelinedMessages.isFull()) {
-                ctx.channel().config().setAutoRead(false);
-            }
             return;
         }
         accept(ctx, message);
@@ -171,6 +178,28 @@
         return exchange != null || isWaitingForMemory() || !isWritable();
     }
 
+    @Override
+    public boolean isPaused() {
+        return !closing && (isBusy() || !pipelinedMessages.isEmpty());
+    }
+
+    @Override
+    public boolean isReadingStopped() {
+        return !closing && isWaitingForMemory();
+    }
+
+    @Override
+    public boolean isRunning() {
+        return exchange != null;
+    }
+
+    @Override
+    public void onHeadRefused() {
+        if (!closing) {
+            reject(ResultCode.HEADS_FULL, HeadMemory.RETRY_AFTER_MILLIS);
+        }
+    }
+
     /** Returns whether the caller reads as fast as it is sent to. */
     boolean isWritable() {
         return context().channel().isWritable();
@@ -211,14 +240,8 @@
         head = received;
         headMillis = forwarder.timers().nowMillis();
         keepAlive = HttpUtil.isKeepAlive(received);
-        long maxBytes =
-                Math.min(
-                        forwarder.limits().maxBodyBytes(),
-                        forwarder.bodyMemory().budget().largestClaimBytes());
-        long declaredBytes =
-                HttpUtil.isTransferEncodingChunked(received)
-                        ? RequestBody.UNKNOWN_LENGTH
-                        : HttpUtil.getContentLength(received, 0L);
+        long maxBytes = forwarder.maxBodyBytes();
+        long declaredBytes = RequestBody.declaredBytes(received);
         if (declaredBytes > maxBytes) {
             reject(ResultCode.BODY_TOO_LARGE, 0);
             return;
@@ -237,10 +260,7 @@
         HttpRequest received = head;
         if (!continueSent && received != null && HttpUtil.is100ContinueExpected(received)) {
             continueSent = true;
-            context()
-                    .writeAndFlush(
-                            new DefaultFullHttpResponse(
-                                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            codec().askToContinue();
         }
         resumeReading();
     }
@@ -257,10 +277,9 @@
     }
 
     private void resumeReading() {
-        if (!context().channel().config().isAutoRead()) {
-            context().channel().config().setAutoRead(true);
-        }
-        if (!pipelinedMessages.isEmpty()) {
+        if (pipelinedMessages.isEmpty()) {
+            codec().resume();
+        } else {
             context().executor().execute(this::acceptPipelined);
         }
     }
@@ -351,7 +370,7 @@
                         channel.shutdownOutput();
                     }
                 });
-        context().channel().config().setAutoRead(true);
+        codec().resume();
     }
 
     private void releaseBody() {
@@ -370,12 +389,7 @@
     }
 
     void sendHead(HttpResponse upstreamHead) {
-        DefaultHttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstreamHead.status());
-        HopByHopHeaders.copyEndToEnd(upstreamHead.headers(), response.headers());
-        if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            HttpUtil.setTransferEncodingChunked(response, true);
-        }
+        HttpResponse response = HopByHopHeaders.endToEndCopy(upstreamHead);
         setConnectionHeader(response);
         context().writeAndFlush(response);
     }
@@ -421,6 +435,7 @@
     }
 
     void onExchangeEnded() {
+        codec().releaseHead();
         exchange = null;
         head = null;
         request = null;
@@ -442,10 +457,7 @@
         while (!isBusy() && !closing && !pipelinedMessages.isEmpty()) {
             accept(context(), pipelinedMessages.remove());
         }
-        // Messages that were decoded before the queue was empty may have stopped the reading again.
-        if (pipelinedMessages.isEmpty() && !isWaitingForMemory()) {
-            context().channel().config().setAutoRead(true);
-        }
+        codec().resume();
     }
 
     @Override
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -215,6 +215,11 @@
         return bodyMemory.budget().claimedBytes();
     }
 
+    /** Returns the length above which a body is not accepted. */
+    long maxBodyBytes() {
+        return Math.min(limits().maxBodyBytes(), bodyMemory.budget().largestClaimBytes());
+    }
+
     BodyMemory bodyMemory() {
         return bodyMemory;
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HopByHopHeaders.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/HopByHopHeaders.java
@@ -1,8 +1,12 @@
 package dev.jayturn.daemon.proxy;
 
 import com.google.common.base.Splitter;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -44,4 +48,14 @@
             }
         }
     }
+
+    /** Returns a response head for the next connection; without a length, the body is chunked. */
+    static HttpResponse endToEndCopy(HttpResponse head) {
+        HttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+        copyEndToEnd(head.headers(), copy.headers());
+        if (!copy.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            HttpUtil.setTransferEncodingChunked(copy, true);
+        }
+        return copy;
+    }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/ProxyServer.java
@@ -1,12 +1,13 @@
 package dev.jayturn.daemon.proxy;
 
+import dev.jayturn.daemon.head.HeadMemory;
+import dev.jayturn.daemon.head.RequestCodec;
 import dev.jayturn.daemon.link.ServerSockets;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -18,12 +19,6 @@
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
-    /**
-     * Requests of one connection that are decoded and not answered. One read may hold so many, and
-     * the codec decodes all of them; no more is read while they wait.
-     */
-    private static final int MAX_PIPELINED_REQUESTS = 4_096;
-
     /**
      * Bytes buffered for a slow caller above which reading from the upstream stops, until fewer
      * than the low water mark are left.
@@ -42,13 +37,15 @@
 
     private final EventLoop loop;
     private final Forwarder forwarder;
+    private final HeadMemory headMemory;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private @Nullable Channel serverChannel;
     private @Nullable ServerSocketChannel serverSocket;
 
-    public ProxyServer(EventLoop loop, Forwarder forwarder) {
+    public ProxyServer(EventLoop loop, Forwarder forwarder, HeadMemory headMemory) {
         this.loop = loop;
         this.forwarder = forwarder;
+        this.headMemory = headMemory;
         forwarder.timers().every(TIMEOUT_CHECK_INTERVAL_MILLIS, this::closeTimedOutConnections);
     }
 
@@ -70,16 +67,15 @@
         allocator.maxMessagesPerRead(MAX_READS);
         allocator.respectMaybeMoreData(false);
         channel.config().setRecvByteBufAllocator(allocator);
-        channel.pipeline()
-                .addLast(forwarder.callerLinkMeter())
-                .addLast(
-                        new HttpServerCodec(
-                                new HttpDecoderConfig()
-                                        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                                        .setMaxHeaderSize(maxHeaderBytes)
-                                        .setMaxChunkSize(MAX_CHUNK_BYTES),
-                                MAX_PIPELINED_REQUESTS))
-                .addLast(new CallerConnection(forwarder, this));
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                        .setMaxHeaderSize(maxHeaderBytes)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        CallerConnection connection = new CallerConnection(forwarder, this);
+        RequestCodec codec = new RequestCodec(config, headMemory, "callers", connection);
+        connection.setCodec(codec);
+        channel.pipeline().addLast(forwarder.callerLinkMeter()).addLast(codec).addLast(connection);
     }
 
     void addConnection(CallerConnection connection) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestBody.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestBody.java
@@ -5,6 +5,8 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -79,6 +81,13 @@
         this.buffer = new HeldBuffer();
     }
 
+    /** Returns the length that a caller has declared, or {@link #UNKNOWN_LENGTH}. */
+    static long declaredBytes(HttpRequest head) {
+        return HttpUtil.isTransferEncodingChunked(head)
+                ? UNKNOWN_LENGTH
+                : HttpUtil.getContentLength(head, 0L);
+    }
+
     /** Claims memory for the whole body, or for the begin of one of unknown length. */
     void claim(long maxWaitMillis) {
         claim(
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
@@ -80,6 +80,14 @@
             0,
             0,
             "ids of prompt parts that are never refused as crashing upstreams"),
+    FLEET_HEADER_MEMORY(
+            "fleet",
+            "header-memory",
+            Type.NUMBER,
+            "12",
+            1,
+            4096,
+            "megabytes of all heads of requests that are not small"),
     METRICS_LISTEN(
             "metrics", "listen", Type.ADDRESS, "127.0.0.1:8088", 0, 0, "IP:port, path /metrics"),
     LOG_LINES_PER_SECOND(
