--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
@@ -19,11 +19,12 @@
  * responses to sound requests, some of which share its other parts. Or one request comes again and
  * again, on any kind of route, and ends what runs it, at times before there is a response.
  *
- * <p>A part is blamed if an upstream ends after the head of a response and before its first event;
- * requests that wait or have had events are bystanders. A request is blamed if an upstream ends
- * soon after it was sent or its response began. A complete response clears the request and the
- * parts. So what many sound requests share is cleared within moments, and what only crashes
- * upstreams never is.
+ * <p>A request is blamed if an upstream ends soon after it was sent or its response began. A part
+ * is blamed with certainty if an upstream ends after the head of a response and before its first
+ * event. The head and the first events may be lost with the process that wrote them, so the parts
+ * of every blamed request are suspect, but those that have had a complete response are bystanders,
+ * and more ends are needed. A complete response clears the request and the parts. So what many
+ * sound requests share is cleared within moments, and what only crashes upstreams never is.
  */
 public final class Quarantine {
     /** After a quarantine has ended, one request with the part is sent in this time. */
@@ -125,6 +126,17 @@
         publish(changed);
     }
 
+    /**
+     * Records a complete and successful response to a prompt with parts of its own. They are not
+     * remembered, since each request has others.
+     */
+    public void clear(List<String> ownParts) {
+        long now = timers.nowMillis();
+        Set<String> changed = new HashSet<>(ownParts);
+        changed.removeIf(part -> !table.clearUntil(part, now));
+        publish(changed);
+    }
+
     /**
      * Records that an upstream ended, or broke the connection, while it ran a request. The request
      * is suspect if it has run for a short time, the parts of its prompt if the response had begun
@@ -135,13 +147,47 @@
     public boolean onCutOff(CutOff cutOff) {
         boolean isRequestSuspect = cutOff.ranMillis() <= MAX_CRASH_MILLIS;
         List<String> parts = cutOff.beforeAnEvent() ? cutOff.parts() : List.of();
-        List<String> suspects = new ArrayList<>(parts);
+        List<String> suspects =
+                new ArrayList<>(cutOff.beforeAnEvent() ? cutOff.allParts() : List.of());
         if (isRequestSuspect) {
             suspects.add(cutOff.request());
         }
+        boolean explained = isExplained(cutOff);
         blame(suspects, cutOff.upstream(), cutOff.request(), cutOff.sentMillis());
+        if (isRequestSuspect && !cutOff.beforeAnEvent()) {
+            blameCircumstantially(cutOff, explained);
+        }
         return (!isRequestSuspect || isRequestRetryAllowed(cutOff.request()))
-                && isRetryAllowed(parts);
+                && isRetryAllowed(parts)
+                && cutOff.allParts().stream().noneMatch(this::isRepeatedlyBlamed);
+    }
+
+    private boolean isExplained(CutOff cutOff) {
+        return condemned.contains(cutOff.request())
+                || cutOff.allParts().stream().anyMatch(condemned::contains);
+    }
+
+    /** Blames the parts that have not had a complete response. */
+    private void blameCircumstantially(CutOff cutOff, boolean explained) {
+        Set<String> changed = new HashSet<>();
+        for (String part : cutOff.allParts()) {
+            if ((!explained || condemned.contains(part))
+                    && !completedMillis.containsKey(part)
+                    && table.addCircumstantialEnd(
+                            part,
+                            cutOff.upstream(),
+                            timers.nowMillis(),
+                            cutOff.request(),
+                            cutOff.sentMillis())) {
+                changed.add(part);
+            }
+        }
+        publish(changed);
+    }
+
+    /** Returns whether a part without a complete response is blamed for more than one end. */
+    private boolean isRepeatedlyBlamed(String part) {
+        return !completedMillis.containsKey(part) && table.countIndependentEnds(part) > 1;
     }
 
     /** Returns whether each part has had a complete response and is not blamed for more ends. */
@@ -189,7 +235,8 @@
         Set<String> cleared = new HashSet<>();
         for (String part : changed) {
             Long completed = completedMillis.get(part);
-            if (completed != null && table.clearUntil(part, completed)) {
+            if (completed != null
+                    && (table.clearUntil(part, completed) | table.clearCircumstantial(part))) {
                 cleared.add(part);
             }
         }
--- a/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/result/ResultCode.java
@@ -22,6 +22,7 @@
     DEADLINE_UNREACHABLE(3004, 503, "the request cannot be served before its deadline"),
     LINK_FULL(3005, 503, "the network link of this instance is full; another one may have room"),
     MEMORY_FULL(3006, 503, "this instance has no memory for the body; another one may have"),
+    HEADS_FULL(3007, 503, "this instance has no memory for the headers; another one may have"),
     NO_UPSTREAM(4001, 503, "no upstream of this service is available"),
     UPSTREAM_FAILED(4002, 502, "the upstream failed before the answer was whole"),
     UPSTREAM_TIMEOUT(4003, 504, "the upstream did not answer in time"),
@@ -44,6 +45,11 @@
             503,
             "this instance uses its part of the connections to every upstream; another one may have"
                     + " some left"),
+    REGION_UNAVAILABLE(4019, 503, "no upstream is available in the regions that bind the request"),
+    DATA_CENTRES_EMPTIED(
+            4021,
+            503,
+            "the upstreams that could serve this request are in data centres that were emptied"),
     CLAIM_IN_PROGRESS(5001, 409, "a call with this key is in progress"),
     OUTCOME_UNKNOWN(5002, 409, "whether the call ran is not known"),
     OUTCOME_RECORDED(5004, 200, "the call ran before; this is its recorded answer"),
@@ -67,6 +73,8 @@
     CONFIGURATION_NO_WEIGHT(6204, 400, "the weights of a route add up to 0"),
     CONFIGURATION_NO_TIMEOUT(6205, 400, "the timeout of a route is 0"),
     CONFIGURATION_SHARED_KEY(6206, 400, "two customers share a key"),
+    EVACUATION_MALFORMED(
+            6301, 400, "the name of the data centre is malformed, or the call has a body"),
     SETTING_UNKNOWN(7001, 400, "the setting is unknown"),
     SETTING_BAD_VALUE(7002, 400, "the setting's value is malformed or out of range"),
     SETTING_MISSING(7003, 400, "a required setting is missing"),
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -9,6 +9,7 @@
 import dev.jayturn.core.consensus.RaftConfig;
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
+import dev.jayturn.core.evacuation.EvacuationCallback;
 import dev.jayturn.core.fleet.ConfigurationCallback;
 import dev.jayturn.core.fleet.ConfigurationDocument;
 import dev.jayturn.core.fleet.ControlInstance;
@@ -22,6 +23,7 @@
 import dev.jayturn.core.slice.SliceRetirement;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
+import dev.jayturn.daemon.head.HeadMemory;
 import dev.jayturn.daemon.journal.FileJournal;
 import dev.jayturn.daemon.journal.JournalCorruptException;
 import dev.jayturn.daemon.journal.StoreIdentity;
@@ -69,6 +71,7 @@
     private final ConfigurationCodec codec;
     private final EventLog log;
     private final FleetMetrics metrics = new FleetMetrics();
+    private final HeadMemory headMemory;
     private final FleetState fleetState = new FleetState();
     private @Nullable ControlInstance controlInstance;
     private @Nullable RaftNode member;
@@ -100,6 +103,8 @@
         this.loop = loop;
         this.codec = codec;
         this.log = log;
+        this.headMemory =
+                new HeadMemory(settings.number(SettingKey.FLEET_HEADER_MEMORY), log, metrics);
     }
 
     /**
@@ -169,9 +174,10 @@
                         this::logRetirement,
                         new QuorumLog(log));
         controlInstance.setConfigurationListener(new ConfigurationLog(log));
+        controlInstance.evacuationCalls().setListener(new EvacuationLog(log));
         StuckLeaderCheck.start(timers, raft, journal, this::logResignation);
         transport.listen(settings.address(SettingKey.FLEET_LISTEN));
-        HttpApiServer.forDocuments(loop, apiHandler)
+        HttpApiServer.forDocuments(loop, apiHandler, headMemory)
                 .listen(settings.address(SettingKey.FLEET_CONTROL));
         serveMetrics(raft, journal, LoopDelayLog.start(timers, log));
         logStart(self, storeId, raft);
@@ -226,10 +232,15 @@
                 () -> requireStarted().lowestEntryVersion().orElse(0));
         metrics.registerGauge(
                 "jayturn.configuration.entries.behind", () -> requireStarted().entriesBehind());
+        metrics.registerGauge(
+                "jayturn.evacuation.emptied", () -> fleetState.evacuation().emptied().size());
+        metrics.registerGauge(
+                "jayturn.evacuation.revision", () -> fleetState.evacuation().revision());
         metrics.registerGauge("jayturn.streams.recorded", this::recordedStreams);
         metrics.registerGauge("jayturn.slice.holders", () -> fleetState.slices().holders().size());
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
-        new HttpApiServer(loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics))
+        new HttpApiServer(
+                        loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics), headMemory)
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
     }
 
@@ -378,6 +389,11 @@
         return tokensByCustomer;
     }
 
+    /** Empties a data centre, so that its upstreams get no more requests, or takes it back. */
+    public void orderEvacuation(String dataCentre, boolean emptied, EvacuationCallback callback) {
+        requireStarted().evacuationCalls().submit(dataCentre, emptied, callback);
+    }
+
     /** Reads the newest document that a quorum confirms. */
     public void readConfiguration(ReadCallback callback) {
         requireStarted()
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -10,6 +10,7 @@
 import dev.jayturn.core.dispatch.ExpectedTimePlacement;
 import dev.jayturn.core.dispatch.LoadShare;
 import dev.jayturn.core.dispatch.PeerLoads;
+import dev.jayturn.core.dispatch.RegionFilter;
 import dev.jayturn.core.dispatch.UpstreamRegistry;
 import dev.jayturn.core.fleet.ConfigurationDocument;
 import dev.jayturn.core.fleet.EntryInstance;
@@ -31,6 +32,7 @@
 import dev.jayturn.core.slice.ClockReading;
 import dev.jayturn.core.transport.Message;
 import dev.jayturn.daemon.eventlog.EventLog;
+import dev.jayturn.daemon.head.HeadMemory;
 import dev.jayturn.daemon.link.EventLoopTimers;
 import dev.jayturn.daemon.link.LinkMeter;
 import dev.jayturn.daemon.link.LinkTransport;
@@ -91,6 +93,7 @@
     private final EventLog log;
     private final EventLoopTimers timers;
     private final Forwarder forwarder;
+    private final HeadMemory headMemory;
     private final ProxyServer proxyServer;
     private final RandomSource random = new ThreadLocalRandomSource();
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -124,6 +127,7 @@
                         upstreamRegistry,
                         new ExpectedTimePlacement(FleetSettings.location(settings), random),
                         random);
+        dispatcher.addFilter(new RegionFilter(FleetSettings.location(settings)));
         this.forwarder =
                 new Forwarder(
                         loop,
@@ -138,7 +142,9 @@
                         quarantine,
                         retryBounds(settings),
                         FleetSettings.sourceAddress(settings));
-        this.proxyServer = new ProxyServer(loop, forwarder);
+        this.headMemory =
+                new HeadMemory(settings.number(SettingKey.FLEET_HEADER_MEMORY), log, metrics);
+        this.proxyServer = new ProxyServer(loop, forwarder, headMemory);
     }
 
     private static Forwarder.RetryBounds retryBounds(Settings settings) {
@@ -193,12 +199,13 @@
         streamOrigins = origins;
         originGuard = new StaleOriginGuard(origins, upstreamRegistry::versionChanges);
         forwarder.setEntryInstance(entry, loads, limiter, origins);
+        entry.evacuation().setListener(this::onEmptied);
         EvidenceSharing evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, entry::controlAddresses);
         quarantine.setSharing(evidenceSharing::onChanged);
         quarantine.setTrustedParts(settings.list(SettingKey.FLEET_TRUSTED_PARTS));
         proxyServer.accept(ServerSockets.open(settings.address(SettingKey.FLEET_CALLERS)));
-        new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler)
+        new HttpApiServer(loop, HttpHeaderValues.APPLICATION_JSON, readinessHandler, headMemory)
                 .listen(settings.address(SettingKey.FLEET_READY));
         serveMetrics(entry, limiter);
         log.event("entry.started", json -> json.writeStringField("instance", self));
@@ -216,6 +223,8 @@
         metrics.registerGauge("jayturn.link.received.share", linkLimiter::receivedShare);
         metrics.registerGauge("jayturn.upstreams", () -> upstreamRegistry.all().size());
         metrics.registerGauge("jayturn.upstreams.limited", limiter::limitedUpstreams);
+        metrics.registerGauge("jayturn.evacuation.emptied", entry.evacuation()::emptiedCount);
+        metrics.registerGauge("jayturn.evacuation.revision", entry.evacuation()::revision);
         metrics.registerGauge("jayturn.parts.quarantined", quarantine::condemnedCount);
         metrics.registerGauge("jayturn.instances", entry::entryCount);
         metrics.registerGauge("jayturn.control.in.touch", () -> entry.isLeaderReachable() ? 1 : 0);
@@ -225,7 +234,8 @@
         metrics.registerGauge(
                 "jayturn.directory.current", () -> entry.isDirectoryCurrent() ? 1 : 0);
         metrics.registerGauge("jayturn.log.lines.left.out", log::droppedLines);
-        new HttpApiServer(loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics))
+        new HttpApiServer(
+                        loop, HttpHeaderValues.TEXT_PLAIN, new MetricsHandler(metrics), headMemory)
                 .listenOptionally(settings.address(SettingKey.METRICS_LISTEN));
     }
 
@@ -314,6 +324,17 @@
         }
     }
 
+    private void onEmptied(long revision, List<String> dataCentres) {
+        // Requests that wait for permits of upstreams there go elsewhere or are refused.
+        forwarder.onPermits();
+        log.event(
+                "evacuation.applied",
+                json -> {
+                    json.writeNumberField("revision", revision);
+                    json.writeStringField("dataCentres", String.join(",", dataCentres));
+                });
+    }
+
     private long obeyedVersion() {
         RouteTable table = routeTable;
         return table == null ? 0 : table.configuration().version();
