Turn away first what costs callers least when a link is full

With the new setting [fleet] reserve the link leaves its last part to the demand that ranks first (ReservedRoom), and those that wait retry by the same rank. At 0, the default, everything is as before: LinkLimiter.occupancy gives the same decisions as the two comparisons that it replaces, and all ranks are 0.

What it changes for callers is not measured yet, so no deployment turns it on. PermitWaitTest and TokenReservationTest pass the rank that the two classes now take.

--- a/jayturn-core/src/main/java/dev/jayturn/core/limits/LinkLimiter.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/limits/LinkLimiter.java
@@ -92,15 +92,25 @@
      * @param isStream whether the request is answered by a stream
      */
     public boolean hasCapacity(boolean isStream) {
+        return occupancy(isStream) < 1;
+    }
+
+    /**
+     * Returns how much is in use of what one more request may find in use; from 1 on, it cannot be
+     * admitted.
+     *
+     * @param isStream whether the request is answered by a stream
+     */
+    public double occupancy(boolean isStream) {
         double maxReceived =
                 isStream ? MAX_RECEIVED_SHARE_FOR_STREAM : MAX_RECEIVED_SHARE_FOR_SHORT;
         double fromCallers = receivedShare(LinkPeer.CALLER);
         double fromOthers = receivedShare() - fromCallers;
         if (maxReceived - fromCallers < RESERVED_FOR_RESPONSES) {
-            return fromOthers < RESERVED_FOR_RESPONSES && sentShare() < MAX_SENT_SHARE;
+            return Math.max(fromOthers / RESERVED_FOR_RESPONSES, sentShare() / MAX_SENT_SHARE);
         }
         double maxSent = isStream ? MAX_SENT_SHARE_FOR_STREAM : MAX_SENT_SHARE_FOR_SHORT;
-        return fromOthers < maxReceived - fromCallers && sentShare() < maxSent;
+        return Math.max(fromOthers / (maxReceived - fromCallers), sentShare() / maxSent);
     }
 
     /** Returns the used share of the sending capacity. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -137,6 +137,7 @@
                         log,
                         metrics,
                         linkLimiter,
+                        settings.decimal(SettingKey.FLEET_RESERVE),
                         upstreamRegistry,
                         dispatcher,
                         quarantine,
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/metrics/FleetMetrics.java
@@ -79,6 +79,11 @@
         count("jayturn.heads.refused", "part", part, 1);
     }
 
+    /** Counts a request that was refused to leave a part of the link to others, by its priority. */
+    public void recordReserved(int priority) {
+        count("jayturn.link.reserved", "priority", String.valueOf(priority), 1);
+    }
+
     /** Counts a message sent to another instance, by message type. */
     public void recordSentMessage(String messageType, int bytes) {
         count("jayturn.link.sent.messages", "message", messageType, 1);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -53,6 +53,7 @@
     private @Nullable Route route;
     private boolean prepaid;
     private @Nullable Service service;
+    private @Nullable RequestDemand demand;
     private @Nullable TokenReservation tokenReservation;
     private @Nullable Attempt attempt;
     private String customer = "";
@@ -126,8 +127,8 @@
         if (isQuarantined()) {
             return;
         }
-        boolean isStream = request.profile().promptTokens() > 0;
-        if (!forwarder.linkLimiter().hasCapacity(isStream)) {
+        demand = RequestDemand.of(match, matchedRoute, request, body.readableBytes());
+        if (!forwarder.hasLinkCapacity(demand)) {
             log.logLinkFull(forwarder.linkLimiter(), customer, body.readableBytes());
             refuse(ResultCode.LINK_FULL, OTHER_INSTANCE_RETRY_AFTER_MILLIS);
             return;
@@ -190,7 +191,7 @@
             return;
         }
         TokenReservation reservation =
-                forwarder.createReservation(instance, customer, maxTokens, this);
+                forwarder.createReservation(instance, customer, maxTokens, demand, this);
         tokenReservation = reservation;
         reservation.reserve();
     }
@@ -234,7 +235,9 @@
         if (upstream == null) {
             if (decision.code() != ResultCode.UPSTREAMS_LIMITED
                     || !permitWait.await(
-                            forwarder.isPermitPending(target), times.deadlineMillis())) {
+                            forwarder.isPermitPending(target),
+                            times.deadlineMillis(),
+                            forwarder.rankOf(demand))) {
                 fail(decision.code(), decision.retryAfterMillis());
             }
             return;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -2,6 +2,7 @@
 
 import static java.util.stream.Collectors.toSet;
 
+import dev.jayturn.core.admission.ReservedRoom;
 import dev.jayturn.core.configuration.RequestLimits;
 import dev.jayturn.core.configuration.Route;
 import dev.jayturn.core.configuration.RouteTable;
@@ -41,6 +42,8 @@
     private final FleetMetrics metrics;
     private final CustomerOutcomes customerOutcomes;
     private final LinkLimiter linkLimiter;
+    private final double linkReserve;
+    private final ReservedRoom linkRoom;
     private final LinkMeter callerLinkMeter;
     private final UpstreamRegistry upstreams;
     private final Dispatcher dispatcher;
@@ -71,6 +74,8 @@
     /**
      * Creates a forwarder.
      *
+     * @param linkReserve share of the link that the requests which cost callers least leave to
+     *     others
      * @param source address that connections to upstreams come from; null if the system chooses it
      */
     public Forwarder(
@@ -81,6 +86,7 @@
             EventLog log,
             FleetMetrics metrics,
             LinkLimiter linkLimiter,
+            double linkReserve,
             UpstreamRegistry upstreams,
             Dispatcher dispatcher,
             Quarantine quarantine,
@@ -93,6 +99,8 @@
         this.metrics = metrics;
         this.customerOutcomes = new CustomerOutcomes(timers, log);
         this.linkLimiter = linkLimiter;
+        this.linkReserve = linkReserve;
+        this.linkRoom = new ReservedRoom(timers, linkReserve);
         this.callerLinkMeter = new LinkMeter(linkLimiter, LinkPeer.CALLER);
         this.upstreams = upstreams;
         this.dispatcher = dispatcher;
@@ -238,8 +246,25 @@
             EntryInstance instance,
             String customer,
             long tokens,
+            @Nullable RequestDemand demand,
             TokenReservation.Callback callback) {
-        return new TokenReservation(timers, tokenWaitQueue, instance, customer, tokens, callback);
+        return new TokenReservation(
+                timers, tokenWaitQueue, instance, customer, tokens, rankOf(demand), callback);
+    }
+
+    /** Returns the position of a request among those that wait for the same. */
+    int rankOf(@Nullable RequestDemand demand) {
+        return linkReserve == 0 || demand == null ? 0 : demand.waitingRank();
+    }
+
+    /** Returns whether the link has room for a request, and counts what it asks for. */
+    boolean hasLinkCapacity(RequestDemand demand) {
+        double occupancy = linkLimiter.occupancy(demand.isStream());
+        boolean admitted = linkRoom.admits(demand.onLink(), occupancy, 1);
+        if (!admitted && occupancy < 1) {
+            metrics.recordReserved(demand.onLink().priority());
+        }
+        return admitted;
     }
 
     RetryQueue permitWaitQueue() {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/PermitWait.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/PermitWait.java
@@ -30,8 +30,9 @@
      * Starts or continues to wait; returns false if no permits are to come, or not in time.
      *
      * @param isAnswerPending whether an owner has been asked and has not answered
+     * @param rank position among the requests that wait
      */
-    boolean await(boolean isAnswerPending, long deadlineMillis) {
+    boolean await(boolean isAnswerPending, long deadlineMillis, int rank) {
         long now = timers.nowMillis();
         boolean isFirst = !started;
         if (isFirst) {
@@ -41,7 +42,7 @@
         if (now >= endMillis || !isAnswerPending) {
             return false;
         }
-        queue.add(retry);
+        queue.add(retry, rank);
         if (isFirst) {
             timers.schedule(endMillis - now, this::end);
         }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RetryQueue.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RetryQueue.java
@@ -1,16 +1,21 @@
 package dev.jayturn.daemon.proxy;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
-/** Requests that wait for something scarce; all of them retry whenever some may have arrived. */
+/**
+ * Requests that wait for something scarce; all of them retry whenever some may have arrived, those
+ * of lower ranks first.
+ */
 final class RetryQueue {
-    private final Set<Runnable> waitingRequests = new LinkedHashSet<>();
+    /** The ranks by request, in the order of arrival. */
+    private final Map<Runnable, Integer> waitingRequests = new LinkedHashMap<>();
 
-    void add(Runnable retry) {
-        waitingRequests.add(retry);
+    void add(Runnable retry, int rank) {
+        waitingRequests.put(retry, rank);
     }
 
     /** Removes a request that no longer waits; otherwise it would stay until the next retry. */
@@ -24,8 +29,9 @@
     }
 
     void retryAll() {
-        List<Runnable> retries = new ArrayList<>(waitingRequests);
+        List<Map.Entry<Runnable, Integer>> retries = new ArrayList<>(waitingRequests.entrySet());
         waitingRequests.clear();
-        retries.forEach(Runnable::run);
+        retries.sort(Comparator.comparing(Map.Entry::getValue));
+        retries.forEach(entry -> entry.getKey().run());
     }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenReservation.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/TokenReservation.java
@@ -33,6 +33,7 @@
     private final EntryInstance entryInstance;
     private final String customer;
     private final long tokens;
+    private final int rank;
     private final Callback callback;
     private final Runnable retry = this::retry;
     private SliceAccounts.@Nullable Reservation sliceReservation;
@@ -47,18 +48,25 @@
         void onRefused(ResultCode code);
     }
 
+    /**
+     * Creates a reservation that has not begun.
+     *
+     * @param rank position among the requests that wait for tokens
+     */
     TokenReservation(
             TimerService timers,
             RetryQueue waitQueue,
             EntryInstance entryInstance,
             String customer,
             long tokens,
+            int rank,
             Callback callback) {
         this.timers = timers;
         this.waitQueue = waitQueue;
         this.entryInstance = entryInstance;
         this.customer = customer;
         this.tokens = tokens;
+        this.rank = rank;
         this.callback = callback;
     }
 
@@ -79,7 +87,7 @@
         if (sliceReservation == null) {
             long waitMillis = waitingForFirstSlices ? FIRST_SLICES_WAIT_MILLIS : LEADER_WAIT_MILLIS;
             waitTimer = timers.schedule(waitMillis, this::requestPeerTokens);
-            waitQueue.add(retry);
+            waitQueue.add(retry, rank);
         }
     }
 
@@ -110,7 +118,7 @@
         } else if (isBudgetExhausted()) {
             refuse();
         } else {
-            waitQueue.add(retry);
+            waitQueue.add(retry, rank);
             requestTokensAfterStart();
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
@@ -64,6 +64,14 @@
     FLEET_RETRY_SLACK(
             "fleet", "retry-slack", Type.DECIMAL, "50", 0, 1000000, "retries beside the ratio"),
     FLEET_RETRY_WINDOW("fleet", "retry-window", Type.DECIMAL, "10", 1, 600, "seconds"),
+    FLEET_RESERVE(
+            "fleet",
+            "reserve",
+            Type.DECIMAL,
+            "0",
+            0,
+            1,
+            "share of a full link that the cheapest requests leave to others; 0: order of arrival"),
     FLEET_SOURCE(
             "fleet",
             "source",
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/PermitWaitTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/PermitWaitTest.java
@@ -21,7 +21,7 @@
 
     @Test
     void requestWaitsForTheAnswerOfAnOwner() {
-        assertThat(wait.await(true, DEADLINE_MILLIS)).isTrue();
+        assertThat(wait.await(true, DEADLINE_MILLIS, 0)).isTrue();
         time.runFor(20);
         queue.retryAll();
         assertThat(retries).isEqualTo(1);
@@ -29,24 +29,24 @@
 
     @Test
     void requestDoesNotWaitIfNoOwnerWasAsked() {
-        assertThat(wait.await(false, DEADLINE_MILLIS)).isFalse();
+        assertThat(wait.await(false, DEADLINE_MILLIS, 0)).isFalse();
         assertThat(queue.size()).isZero();
     }
 
     @Test
     void requestThatHasWaitedLongEnoughLeavesTheQueueAndIsDecidedAgain() {
-        wait.await(true, DEADLINE_MILLIS);
+        wait.await(true, DEADLINE_MILLIS, 0);
         time.runFor(LONGEST_WAIT_MILLIS);
         assertThat(retries).isEqualTo(1);
-        assertThat(wait.await(true, DEADLINE_MILLIS)).isFalse();
+        assertThat(wait.await(true, DEADLINE_MILLIS, 0)).isFalse();
         assertThat(queue.size()).isZero();
     }
 
     @Test
     void requestDoesNotWaitPastItsDeadline() {
-        assertThat(wait.await(true, time.nowMillis() + 40)).isTrue();
+        assertThat(wait.await(true, time.nowMillis() + 40, 0)).isTrue();
         time.runFor(40);
         assertThat(retries).isEqualTo(1);
-        assertThat(wait.await(true, time.nowMillis())).isFalse();
+        assertThat(wait.await(true, time.nowMillis(), 0)).isFalse();
     }
 }
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenReservationTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/proxy/TokenReservationTest.java
@@ -85,7 +85,7 @@
 
     private TokenReservation reserve(long tokens) {
         TokenReservation reservation =
-                new TokenReservation(process, waitQueue, entryInstance, "roy", tokens, this);
+                new TokenReservation(process, waitQueue, entryInstance, "roy", tokens, 0, this);
         reservation.reserve();
         return reservation;
     }
