Keep requests to cold upstreams within what they tolerate

Upstreams that come back, and are cold for some seconds, crash if they get more than a few requests a second. Callers' requests went there without a bound: idle upstreams look best to every instance at once, and the cold time in heartbeats was read and dropped.

Heartbeats now carry the cold time to all instances, and a service has a rate that its cold upstreams tolerate (cold_per_s; none without the field). While an upstream is cold, requests to it need permits of its one owner, as for the limits that upstreams name; the limit ends when a heartbeat says so, after 1.5 s at twice the rate. An instance that cannot know whether an upstream is cold, being out of touch or after a failed connection to it, keeps to an equal part without asking.

ColdUpstreamFleetTest (virtual time, 6, 30 and 100 instances, 5 % of messages lost; new, returning and turning upstreams; instances restarted, paused, cut off) counts requests at the upstream in each second: at most 16 allowed at 7.9 tolerated. ColdUpstreamTest shows the limit over real sockets.

Not bounded: an upstream that turns cold without a restart until its heartbeat is known; see docs/design/cold-upstreams.md.

--- a/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/directory/Heartbeat.java
@@ -9,6 +9,8 @@
  * @param sequence increases with each heartbeat of an incarnation
  * @param softwareVersion version of the software that the upstream runs, in no order; empty if it
  *     is not known
+ * @param coldMillis time for which the upstream was to stay cold when it sent this, in
+ *     milliseconds: it tolerates fewer requests until then; 0 if it was warm
  */
 public record Heartbeat(
         String id,
@@ -19,7 +21,8 @@
         UpstreamState state,
         long incarnation,
         long sequence,
-        String softwareVersion) {
+        String softwareVersion,
+        long coldMillis) {
     /** Instances of earlier builds order departures by their sequence. */
     private static final long LAST_SEQUENCE = Long.MAX_VALUE;
 
@@ -29,6 +32,30 @@
     /** Instances keep one upstream for each address, so these differ too. */
     private static final String UNKNOWN_ADDRESS_PREFIX = "unknown/";
 
+    /** Creates the heartbeat of an upstream that is not cold. */
+    public Heartbeat(
+            String id,
+            String service,
+            String address,
+            String dataCentre,
+            int slots,
+            UpstreamState state,
+            long incarnation,
+            long sequence,
+            String softwareVersion) {
+        this(
+                id,
+                service,
+                address,
+                dataCentre,
+                slots,
+                state,
+                incarnation,
+                sequence,
+                softwareVersion,
+                0);
+    }
+
     /** Returns the id of the upstream together with its incarnation. */
     public String incarnationId() {
         return id + '/' + incarnation;
@@ -57,7 +84,10 @@
         return state == UpstreamState.GONE;
     }
 
-    /** Returns whether anything other than the sequence differs from another heartbeat. */
+    /**
+     * Returns whether anything other than the sequence differs from an earlier heartbeat. The
+     * remaining cold time differs if it has grown or is over.
+     */
     public boolean differsFrom(Heartbeat other) {
         return incarnation != other.incarnation
                 || state != other.state
@@ -65,7 +95,9 @@
                 || !service.equals(other.service)
                 || !address.equals(other.address)
                 || !dataCentre.equals(other.dataCentre)
-                || !softwareVersion.equals(other.softwareVersion);
+                || !softwareVersion.equals(other.softwareVersion)
+                || coldMillis > other.coldMillis
+                || (coldMillis == 0 && other.coldMillis > 0);
     }
 
     /**
--- a/jayturn-core/src/main/java/dev/jayturn/core/ratelimit/UpstreamRateLimiter.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/ratelimit/UpstreamRateLimiter.java
@@ -111,6 +111,12 @@
         return holder.available(now) > 0;
     }
 
+    /** Returns whether this instance holds a permit of an upstream. */
+    boolean holdsPermit(String upstream) {
+        PermitHolder holder = holders.get(upstream);
+        return holder != null && holder.available(timers.nowMillis()) > 0;
+    }
+
     /** Uses a permit for a request; returns false if there is none, or no limit. */
     public boolean acquire(String upstream) {
         if (!isLimited(upstream)) {
--- a/jayturn-core/src/test/java/dev/jayturn/core/configuration/ConfigurationCheckerTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/configuration/ConfigurationCheckerTest.java
@@ -28,7 +28,7 @@
     }
 
     private static void check(Route... routes) throws ConfigurationException {
-        Service service = new Service("s", "/", 8, null);
+        Service service = new Service("s", "/", 8, 0, null);
         ConfigurationChecker.check(
                 new Configuration(
                         1,
--- a/jayturn-core/src/test/java/dev/jayturn/core/configuration/RouteTableTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/configuration/RouteTableTest.java
@@ -30,7 +30,7 @@
         return new Configuration(
                 1,
                 routes,
-                List.of(new Service("press", "/health", 10, null)),
+                List.of(new Service("press", "/health", 10, 0, null)),
                 RequestLimits.DEFAULTS,
                 true,
                 customers);
--- a/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/directory/UpstreamTableTest.java
@@ -19,6 +19,31 @@
         assertThat(table.changedSince(0)).containsExactly(heartbeat(1, 5, UpstreamState.DRAINING));
     }
 
+    private static Heartbeat cold(long sequence, long coldMillis) {
+        return new Heartbeat(
+                "u1",
+                "press",
+                "10.0.0.1:80",
+                "a",
+                4,
+                UpstreamState.READY,
+                1,
+                sequence,
+                "v1",
+                coldMillis);
+    }
+
+    @Test
+    void startExtensionAndEndOfTheColdTimeAreChanges() {
+        table.accept(cold(1, 0), 0);
+        assertThat(table.accept(cold(2, 3_000), 1)).isTrue();
+        assertThat(table.accept(cold(3, 1_800), 2)).isFalse();
+        assertThat(table.accept(cold(4, 2_500), 3)).isTrue();
+        assertThat(table.changedSince(0)).containsExactly(cold(4, 2_500));
+        assertThat(table.accept(cold(5, 0), 4)).isTrue();
+        assertThat(table.accept(cold(6, 0), 5)).isFalse();
+    }
+
     @Test
     void newIncarnationRestartsTheSequence() {
         table.accept(heartbeat(1, 50, UpstreamState.READY), 0);
--- a/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/fleet/VirtualFleet.java
@@ -14,6 +14,7 @@
 import dev.jayturn.core.quarantine.EvidenceTable;
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.quarantine.QuarantineListener;
+import dev.jayturn.core.ratelimit.ColdUpstreams;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StaleOriginGuard;
@@ -84,6 +85,7 @@
     final Map<String, VirtualEntry> entries = new LinkedHashMap<>();
     final Map<String, Long> spentByCustomer = new HashMap<>();
     final Map<String, Long> refusedCallsByCustomer = new HashMap<>();
+    double coldRequestsPerSecond;
     private final int entriesPerDataCentre;
     private int storeCount;
     private final List<String> controlNames = new ArrayList<>();
@@ -226,6 +228,7 @@
         final EntryInstance instance;
         final Quarantine quarantine;
         final UpstreamRateLimiter limiter;
+        final ColdUpstreams permits;
         final StreamOrigins origins;
         final StaleOriginGuard originGuard;
         final UpstreamRegistry upstreams = new UpstreamRegistry(service -> 1_000);
@@ -278,6 +281,15 @@
                             instance::controlAddresses,
                             (upstream, rate, ageMillis) -> {},
                             () -> {});
+            permits =
+                    new ColdUpstreams(
+                            limiter,
+                            process,
+                            service -> coldRequestsPerSecond,
+                            instance::isDirectoryCurrent,
+                            instance::entryCount,
+                            source,
+                            (upstream, remainingMillis) -> {});
             origins = new StreamOrigins(name, process, process, instance::controlAddresses);
             dispatcher =
                     new Dispatcher(
@@ -286,6 +298,7 @@
                             source);
             originGuard = new StaleOriginGuard(origins, upstreams::versionChanges);
             dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
+            dispatcher.setRateLimits(permits);
             process.onMessage((to, message) -> receive(message));
         }
 
@@ -363,6 +376,7 @@
         @Override
         public void onUpstream(Heartbeat heartbeat) {
             upstreamHeartbeats.add(heartbeat);
+            permits.onHeartbeat(heartbeat);
             upstreams.accept(heartbeat);
         }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -24,6 +24,7 @@
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.quarantine.QuarantineListener;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.ratelimit.ColdUpstreams;
 import dev.jayturn.core.ratelimit.RateLimitListener;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.result.ResultCode;
@@ -194,7 +195,17 @@
         StreamOrigins origins = new StreamOrigins(self, timers, transport, entry::controlAddresses);
         streamOrigins = origins;
         originGuard = new StaleOriginGuard(origins, upstreamRegistry::versionChanges);
-        forwarder.setEntryInstance(entry, loads, limiter, origins);
+        ColdUpstreams cold =
+                new ColdUpstreams(
+                        limiter,
+                        timers,
+                        this::coldRequestsPerSecond,
+                        entry::isDirectoryCurrent,
+                        entry::entryCount,
+                        random,
+                        this::onCold);
+        metrics.registerGauge("jayturn.upstreams.cold", cold::coldUpstreams);
+        forwarder.setEntryInstance(entry, loads, limiter, cold, origins);
         EvidenceSharing evidenceSharing =
                 new EvidenceSharing(self, evidence, transport, timers, entry::controlAddresses);
         quarantine.setSharing(evidenceSharing::onChanged);
@@ -321,6 +332,21 @@
         return table == null ? 0 : table.configuration().version();
     }
 
+    private double coldRequestsPerSecond(String service) {
+        RouteTable table = routeTable;
+        Service configured = table == null ? null : table.findService(service);
+        return configured == null ? 0 : configured.coldRequestsPerSecond();
+    }
+
+    private void onCold(String upstream, long remainingMillis) {
+        log.event(
+                "upstream.cold",
+                json -> {
+                    json.writeStringField("upstream", upstream);
+                    json.writeNumberField("remaining", remainingMillis);
+                });
+    }
+
     private long kvCacheTokens(String service) {
         RouteTable table = routeTable;
         Service configured = table == null ? null : table.findService(service);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -180,6 +180,7 @@
         if (!ended) {
             recordEnd();
             upstream.connectionFailed(timers.nowMillis());
+            forwarder.onConnectionLost(upstream);
             exchange.onFailure(this, Failure.UNREACHABLE);
         }
     }
@@ -296,6 +297,7 @@
         if (!ended) {
             recordEnd();
             recordCutOff();
+            forwarder.onConnectionLost(upstream);
             reportFailure(Failure.BROKEN);
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -18,6 +18,7 @@
 import dev.jayturn.core.limits.LinkPeer;
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.random.RandomSource;
+import dev.jayturn.core.ratelimit.ColdUpstreams;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.resumption.StreamOrigins;
 import dev.jayturn.core.timer.TimerService;
@@ -53,6 +54,7 @@
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
+    private @Nullable ColdUpstreams permits;
     private @Nullable StreamOrigins streamOrigins;
     private @Nullable RouteTable routes;
     private final DrainAdmission drainAdmission = new DrainAdmission();
@@ -111,13 +113,15 @@
             EntryInstance instance,
             PeerLoads loads,
             UpstreamRateLimiter limiter,
+            ColdUpstreams coldUpstreams,
             StreamOrigins origins) {
         entryInstance = instance;
         peerLoads = loads;
         rateLimiter = limiter;
+        permits = coldUpstreams;
         streamOrigins = origins;
         retryBudgets.setEntryInstance(instance);
-        dispatcher.setRateLimits(limiter);
+        dispatcher.setRateLimits(coldUpstreams);
         dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
     }
 
@@ -149,6 +153,10 @@
 
     /** Applies the heartbeat of an upstream. */
     public void onUpstream(Heartbeat heartbeat) {
+        ColdUpstreams cold = permits;
+        if (cold != null) {
+            cold.onHeartbeat(heartbeat);
+        }
         UpstreamLoad removed = upstreams.accept(heartbeat);
         if (removed != null) {
             pools.closeIdleConnections(removed);
@@ -343,19 +351,27 @@
 
     /** Uses a permit of an upstream; returns false if there is none, or no rate limit. */
     boolean acquirePermit(UpstreamLoad upstream) {
-        UpstreamRateLimiter limiter = rateLimiter;
+        ColdUpstreams limiter = permits;
         return limiter != null && limiter.acquire(upstream.heartbeat().incarnationId());
     }
 
+    /** Records that an upstream may have crashed. */
+    void onConnectionLost(UpstreamLoad upstream) {
+        ColdUpstreams limiter = permits;
+        if (limiter != null) {
+            limiter.onConnectionLost(upstream.heartbeat().incarnationId());
+        }
+    }
+
     /** Returns whether requests to an upstream need permits. */
     boolean needsPermit(UpstreamLoad upstream) {
-        UpstreamRateLimiter limiter = rateLimiter;
+        ColdUpstreams limiter = permits;
         return limiter != null && limiter.isLimited(upstream.heartbeat().incarnationId());
     }
 
     /** Takes back the permit of a request that was not sent. */
     void releasePermit(UpstreamLoad upstream) {
-        UpstreamRateLimiter limiter = rateLimiter;
+        ColdUpstreams limiter = permits;
         if (limiter != null) {
             limiter.release(upstream.heartbeat().incarnationId());
         }
@@ -363,7 +379,7 @@
 
     /** Returns whether permits of an upstream of a service were requested and are to come. */
     boolean isPermitPending(Service service) {
-        UpstreamRateLimiter limiter = rateLimiter;
+        ColdUpstreams limiter = permits;
         return limiter != null
                 && upstreams.ofService(service.name()).stream()
                         .anyMatch(
