Do not look at each upstream while no data centre is emptied

Change: UpstreamFilter.isRestrictive, true unless a filter says otherwise; EvacuationView says so while its set is empty. Decisions are the same. Result: DispatcherTest 12, EvacuationViewTest 4, EvacuationFleetTest 8 pass. The time saved was not measured.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/Dispatcher.java
@@ -112,8 +112,7 @@
             return Decision.refuse(ResultCode.STREAM_VERSION_GONE, NO_UPSTREAM_RETRY_MILLIS, 0);
         }
         for (UpstreamFilter filter : filters) {
-            List<UpstreamLoad> admitted =
-                    allowed.stream().filter(upstream -> filter.admits(query, upstream)).toList();
+            List<UpstreamLoad> admitted = admitted(filter, query, allowed);
             if (admitted.isEmpty() && !allowed.isEmpty()) {
                 return Decision.refuse(filter.refusal(), NO_UPSTREAM_RETRY_MILLIS, 0);
             }
@@ -170,6 +169,13 @@
                 choice.upstream(), choice.expectedMillis(), ResultCode.OK, 0, candidates.size());
     }
 
+    private static List<UpstreamLoad> admitted(
+            UpstreamFilter filter, Query query, List<UpstreamLoad> upstreams) {
+        return filter.isRestrictive(query)
+                ? upstreams.stream().filter(upstream -> filter.admits(query, upstream)).toList()
+                : upstreams;
+    }
+
     private List<UpstreamLoad> upstreamsThatContinue(
             @Nullable StreamOrigin origin, List<UpstreamLoad> upstreams) {
         if (origin == null) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamFilter.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamFilter.java
@@ -7,6 +7,11 @@
     /** Returns whether the request may be sent to the upstream. */
     boolean admits(Dispatcher.Query query, UpstreamLoad upstream);
 
+    /** Returns whether the condition may exclude any upstream now; if not, all are admitted. */
+    default boolean isRestrictive(Dispatcher.Query query) {
+        return true;
+    }
+
     /** Returns the reason of a refusal if no upstream meets the condition. */
     ResultCode refusal();
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/evacuation/EvacuationView.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/evacuation/EvacuationView.java
@@ -64,6 +64,11 @@
         return emptied.contains(dataCentre);
     }
 
+    @Override
+    public boolean isRestrictive(Dispatcher.Query query) {
+        return !emptied.isEmpty();
+    }
+
     @Override
     public boolean admits(Dispatcher.Query query, UpstreamLoad upstream) {
         return !isEmptied(upstream.heartbeat().dataCentre());
