--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -10,6 +10,7 @@
 import dev.jayturn.core.consensus.RaftNode;
 import dev.jayturn.core.directory.Heartbeat;
 import dev.jayturn.core.evacuation.EvacuationCallback;
+import dev.jayturn.core.evacuation.EvacuationTable;
 import dev.jayturn.core.fleet.ConfigurationCallback;
 import dev.jayturn.core.fleet.ConfigurationDocument;
 import dev.jayturn.core.fleet.ControlInstance;
@@ -389,6 +390,11 @@
         requireStarted().evacuationCalls().submit(dataCentre, emptied, callback);
     }
 
+    /** Returns the emptied data centres that this instance knows, which may lag. */
+    public EvacuationTable evacuation() {
+        return fleetState.evacuation();
+    }
+
     /** Reads the newest document that a quorum confirms. */
     public void readConfiguration(ReadCallback callback) {
         requireStarted()
