Let large fleets share sums of the load at their upstreams

Above 17 entry instances each chose upstreams by its own work alone, so all met at the upstreams that are preferred for a shared prefix while others were idle.

The choice takes into account what the sums do not show yet, and prefers a hot prefix at several upstreams.

--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
@@ -1,8 +1,6 @@
 package dev.jayturn.core.dispatch;
 
-import com.google.common.hash.Hashing;
 import dev.jayturn.core.random.RandomSource;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -16,6 +14,10 @@
  * many instances that choose at the same time. Without communication the instances agree on a
  * preferred upstream for each prefix (rendezvous hashing, Thaler and Ravishankar 1998) and use
  * another one as soon as waiting at the preferred one costs more than reading the prefix elsewhere.
+ *
+ * <p>If the work of the other instances is known from sums, which are of an earlier time, a prefix
+ * is preferred at as many upstreams as its share of the load fills, and the choice spreads what the
+ * sums do not show yet.
  */
 public final class ExpectedTimePlacement implements PlacementPolicy {
     /** Time charged for the round trip to another region. */
@@ -50,14 +52,39 @@
 
     private static final int JITTER_STEPS = 1_000;
 
+    /** Upstreams at which a prefix is preferred, for each one that its share of the load fills. */
+    private static final double PREFERRED_UPSTREAMS_FACTOR = 2;
+
+    /** The same while nothing is known of the other instances, so that nobody sees a queue grow. */
+    private static final double PREFERRED_UPSTREAMS_FACTOR_UNSEEN = 3;
+
+    /**
+     * Mean waiting time at the upstreams that adds one to the weight of reading a prefix again: it
+     * delays all that wait behind it, so it costs most when there is no room left.
+     */
+    private static final double QUEUE_MILLIS_OF_A_WEIGHT = 10;
+
+    /** Share of the time since the sums in which upstreams got work that the sums do not show. */
+    private static final double UNSEEN_WORK_RATE = 0.4;
+
+    /** Sums older than this say no less. */
+    private static final long MAX_AGE_MILLIS = 600;
+
     private final Location location;
     private final RandomSource random;
+    private final PrefixShares prefixShares = new PrefixShares();
+    private LoadView view = LoadView.DIRECT;
 
     public ExpectedTimePlacement(Location location, RandomSource random) {
         this.location = location;
         this.random = random;
     }
 
+    /** Sets how the work of the other instances is known. */
+    public void setLoadView(LoadView loadView) {
+        view = loadView;
+    }
+
     @Override
     public @Nullable Choice choose(
             RequestProfile profile, List<UpstreamLoad> upstreams, long nowMillis) {
@@ -69,18 +96,27 @@
         }
         // If most upstreams are unreachable, this instance's own network has probably failed.
         boolean isOwnNetworkSuspect = reachable.size() < MIN_REACHABLE_SHARE * upstreams.size();
-        return lowestCost(profile, isOwnNetworkSuspect ? upstreams : reachable);
+        List<UpstreamLoad> candidates = isOwnNetworkSuspect ? upstreams : reachable;
+        return view.isShared() && !candidates.isEmpty()
+                ? spread(profile, candidates, nowMillis)
+                : lowestCost(profile, candidates);
     }
 
     private @Nullable Choice lowestCost(RequestProfile profile, List<UpstreamLoad> upstreams) {
-        String preferred = preferredId(profile, upstreams);
+        PrefixRanks ranks = new PrefixRanks(profile.affinityKey(), upstreams);
         Choice best = null;
         double bestCost = Double.MAX_VALUE;
-        for (UpstreamLoad upstream : upstreams) {
-            boolean isPreferred = upstream.heartbeat().id().equals(preferred);
-            double millis = expectedMillis(profile, upstream, isPreferred);
-            double jitter = 1 + MAX_JITTER * random.nextInt(JITTER_STEPS) / JITTER_STEPS;
-            double cost = millis * jitter * (1 + FAILURE_FACTOR * upstream.failureRate());
+        for (int i = 0; i < upstreams.size(); i++) {
+            UpstreamLoad upstream = upstreams.get(i);
+            boolean isPreferred = ranks.hasPrefix() && ranks.rank(i) == 0;
+            double millis =
+                    expectedMillis(
+                            profile,
+                            upstream,
+                            isPreferred ? ASSUMED_CACHED_SHARE : 0,
+                            PREFIX_REREAD_WEIGHT,
+                            queueMillis(upstream));
+            double cost = cost(upstream, millis);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = new Choice(upstream, millis);
@@ -89,12 +125,75 @@
         return best;
     }
 
+    private double cost(UpstreamLoad upstream, double expectedMillis) {
+        double jitter = 1 + MAX_JITTER * random.nextInt(JITTER_STEPS) / JITTER_STEPS;
+        return expectedMillis * jitter * (1 + FAILURE_FACTOR * upstream.failureRate());
+    }
+
+    /** Chooses by sums of an earlier time; see {@link UnseenWork}. */
+    private Choice spread(RequestProfile profile, List<UpstreamLoad> upstreams, long nowMillis) {
+        double[] queues = new double[upstreams.size()];
+        double unseenMillis = 0;
+        double queueSum = 0;
+        boolean isKnown = false;
+        for (int i = 0; i < queues.length; i++) {
+            UpstreamLoad upstream = upstreams.get(i);
+            queues[i] = upstream.waitingTokens() / upstream.promptTokensPerMilli();
+            long age = upstream.peerLoadAgeMillis(nowMillis);
+            if (age != Long.MAX_VALUE) {
+                isKnown = true;
+                // What waited when the sums were made has been read since.
+                queues[i] = Math.max(queues[i], queueMillis(upstream) - age);
+                unseenMillis += UNSEEN_WORK_RATE * Math.min(MAX_AGE_MILLIS, age);
+            }
+            queueSum += queues[i];
+        }
+        PrefixRanks ranks = new PrefixRanks(profile.affinityKey(), upstreams);
+        double preferred = 0;
+        if (ranks.hasPrefix()) {
+            double share =
+                    prefixShares.add(profile.affinityKey(), profile.promptTokens(), nowMillis);
+            double factor =
+                    isKnown ? PREFERRED_UPSTREAMS_FACTOR : PREFERRED_UPSTREAMS_FACTOR_UNSEEN;
+            preferred = Math.max(1, factor * share * upstreams.size());
+        }
+        double rereadWeight =
+                PREFIX_REREAD_WEIGHT + queueSum / queues.length / QUEUE_MILLIS_OF_A_WEIGHT;
+        double[] millis = new double[queues.length];
+        double[] costs = new double[queues.length];
+        for (int i = 0; i < costs.length; i++) {
+            double cachedShare = ranks.hasPrefix() ? cachedShare(ranks.rank(i), preferred) : 0;
+            UpstreamLoad upstream = upstreams.get(i);
+            millis[i] = expectedMillis(profile, upstream, cachedShare, rereadWeight, queues[i]);
+            costs[i] = cost(upstream, millis[i]);
+        }
+        int chosen = UnseenWork.choose(costs, unseenMillis, random);
+        return new Choice(upstreams.get(chosen), millis[chosen]);
+    }
+
+    /**
+     * Returns the share of a prefix that is assumed to be cached at an upstream: all of it where it
+     * is preferred, and less further down, so that what leaves those goes to a few others.
+     */
+    private static double cachedShare(int rank, double preferredUpstreams) {
+        double share = Math.min(1, preferredUpstreams / (rank + 1));
+        return share * share;
+    }
+
+    private static double queueMillis(UpstreamLoad upstream) {
+        return upstream.totalWaitingTokens() / upstream.promptTokensPerMilli();
+    }
+
     private static double occupancy(UpstreamLoad upstream) {
         return (upstream.totalInFlight() + 1.0) / upstream.heartbeat().slots();
     }
 
     private double expectedMillis(
-            RequestProfile profile, UpstreamLoad upstream, boolean isPreferred) {
+            RequestProfile profile,
+            UpstreamLoad upstream,
+            double assumedCachedShare,
+            double rereadWeight,
+            double queueMillis) {
         double roundTrip =
                 location.isSameRegion(upstream.heartbeat().dataCentre()) ? 0 : CROSS_REGION_MILLIS;
         double occupancy = occupancy(upstream);
@@ -102,44 +201,18 @@
             double excess = Math.max(0, occupancy - FREE_OCCUPANCY);
             return roundTrip + upstream.requestMillis() * (1 + excess);
         }
-        double cached = upstream.sentPrefixTokens(profile);
-        if (isPreferred) {
-            cached = Math.max(cached, ASSUMED_CACHED_SHARE * profile.sharedPrefixTokens());
-        }
+        double cached =
+                Math.max(
+                        upstream.sentPrefixTokens(profile),
+                        assumedCachedShare * profile.sharedPrefixTokens());
         double uncached = Math.max(0, profile.promptTokens() - cached);
         double uncachedPrefix = Math.max(0, profile.sharedPrefixTokens() - cached);
-        double queuedTokens = upstream.totalWaitingTokens();
         double batchDelay =
                 FULL_BATCH_DELAY_MILLIS * occupancy
                         + QUEUED_BATCH_DELAY_MILLIS * Math.max(0, occupancy - 1);
         return roundTrip
-                + (uncached + PREFIX_REREAD_WEIGHT * uncachedPrefix + queuedTokens)
-                        / upstream.promptTokensPerMilli()
+                + (uncached + rereadWeight * uncachedPrefix) / upstream.promptTokensPerMilli()
+                + queueMillis
                 + batchDelay;
     }
-
-    /** Returns the id of the upstream with the highest rendezvous hash; empty without a prefix. */
-    private String preferredId(RequestProfile profile, List<UpstreamLoad> upstreams) {
-        String affinity = profile.affinityKey();
-        String preferred = "";
-        long highest = Long.MIN_VALUE;
-        if (affinity.isEmpty()) {
-            return preferred;
-        }
-        for (UpstreamLoad upstream : upstreams) {
-            String id = upstream.heartbeat().id();
-            long weight =
-                    Hashing.murmur3_128()
-                            .newHasher()
-                            .putString(affinity, StandardCharsets.UTF_8)
-                            .putString(id, StandardCharsets.UTF_8)
-                            .hash()
-                            .asLong();
-            if (weight > highest) {
-                highest = weight;
-                preferred = id;
-            }
-        }
-        return preferred;
-    }
 }
--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/UpstreamLoad.java
@@ -7,6 +7,9 @@
  * in flight is that of this instance and, as far as they report it, of the other ones.
  */
 public final class UpstreamLoad {
+    /** Stands for the time of work that is not known. */
+    public static final long UNKNOWN_TIME = Long.MIN_VALUE;
+
     /** Weight of a new sample in the moving averages. */
     private static final double SMOOTHING_FACTOR = 0.2;
 
@@ -30,6 +33,7 @@
     private long waitingTokens;
     private int peersInFlight;
     private long peersWaitingTokens;
+    private long peersAsOfMillis = UNKNOWN_TIME;
     private double promptTokensPerMilli = INITIAL_PROMPT_TOKENS_PER_MILLI;
     private double requestMillis = INITIAL_REQUEST_MILLIS;
     private double failureRate;
@@ -64,8 +68,25 @@
 
     /** Sets the work that other instances have in flight at this upstream. */
     void setPeerLoad(int requests, long tokens) {
+        setPeerLoad(requests, tokens, UNKNOWN_TIME);
+    }
+
+    /**
+     * Sets the work that other instances have in flight at this upstream.
+     *
+     * @param asOfMillis time at which they had it; {@link #UNKNOWN_TIME} if it is not known
+     */
+    public void setPeerLoad(int requests, long tokens, long asOfMillis) {
         peersInFlight = requests;
         peersWaitingTokens = tokens;
+        peersAsOfMillis = asOfMillis;
+    }
+
+    /** Returns the age of the work of other instances; Long.MAX_VALUE if it is not known. */
+    public long peerLoadAgeMillis(long nowMillis) {
+        return peersAsOfMillis == UNKNOWN_TIME
+                ? Long.MAX_VALUE
+                : Math.max(0, nowMillis - peersAsOfMillis);
     }
 
     /** Returns the requests in flight of all instances, as far as known. */
