--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -17,6 +17,7 @@
 import dev.jayturn.core.fleet.Peer;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.limits.LinkPeer;
+import dev.jayturn.core.loadview.FleetLoads;
 import dev.jayturn.core.quarantine.EvidenceShare;
 import dev.jayturn.core.quarantine.EvidenceSharing;
 import dev.jayturn.core.quarantine.EvidenceTable;
@@ -98,8 +99,10 @@
     private final EvidenceTable evidence = new EvidenceTable();
     private final Quarantine quarantine;
     private final UpstreamRegistry upstreamRegistry = new UpstreamRegistry(this::kvCacheTokens);
+    private final ExpectedTimePlacement placement;
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
+    private @Nullable FleetLoads fleetLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
     private @Nullable StreamOrigins streamOrigins;
     private @Nullable StaleOriginGuard originGuard;
@@ -119,11 +122,8 @@
         this.quarantine = new Quarantine(timers, evidence, this);
         this.linkLimiter =
                 new LinkLimiter(timers, settings.decimal(SettingKey.FLEET_LINK_CAPACITY));
-        Dispatcher dispatcher =
-                new Dispatcher(
-                        upstreamRegistry,
-                        new ExpectedTimePlacement(FleetSettings.location(settings), random),
-                        random);
+        this.placement = new ExpectedTimePlacement(FleetSettings.location(settings), random);
+        Dispatcher dispatcher = new Dispatcher(upstreamRegistry, placement, random);
         this.forwarder =
                 new Forwarder(
                         loop,
@@ -180,6 +180,17 @@
         PeerLoads loads = new PeerLoads(self, upstreamRegistry, transport, timers);
         entryInstance = entry;
         peerLoads = loads;
+        FleetLoads sums =
+                new FleetLoads(
+                        self,
+                        upstreamRegistry,
+                        transport,
+                        timers,
+                        (int) settings.number(SettingKey.FLEET_LOAD_SUMS));
+        fleetLoads = sums;
+        placement.setLoadView(sums);
+        forwarder.setFleetLoads(sums);
+        LoadViewLog.start(sums, timers, metrics, log);
         UpstreamRateLimiter limiter =
                 new UpstreamRateLimiter(
                         self,
@@ -253,10 +264,13 @@
     private void onMessage(Message message) {
         EntryInstance entry = entryInstance;
         PeerLoads loads = peerLoads;
+        FleetLoads sums = fleetLoads;
         UpstreamRateLimiter limiter = rateLimiter;
         StreamOrigins origins = streamOrigins;
         if (loads != null && message instanceof LoadShare share) {
             loads.onShare(share);
+        } else if (sums != null && sums.handle(message)) {
+            return;
         } else if (message instanceof EvidenceShare share) {
             quarantine.onShare(share);
         } else if (limiter != null && limiter.handle(message)) {
@@ -310,6 +324,10 @@
         peers.forEach(peer -> addresses.add(peer.address()));
         if (loads != null && limiter != null) {
             loads.setPeers(addresses);
+            FleetLoads sums = fleetLoads;
+            if (sums != null) {
+                sums.setPeers(addresses);
+            }
             limiter.setInstances(addresses);
         }
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -16,6 +16,7 @@
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.limits.LinkPeer;
+import dev.jayturn.core.loadview.FleetLoads;
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
@@ -52,6 +53,7 @@
     private final StartupQueue startupQueue = new StartupQueue();
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
+    private @Nullable FleetLoads fleetLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
     private @Nullable StreamOrigins streamOrigins;
     private @Nullable RouteTable routes;
@@ -121,6 +123,11 @@
         dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
     }
 
+    /** Sets the view of the load of a large fleet. */
+    public void setFleetLoads(FleetLoads loads) {
+        fleetLoads = loads;
+    }
+
     /** Returns whether this instance knows the upstreams as they are now. */
     boolean isDirectoryCurrent() {
         EntryInstance instance = entryInstance;
@@ -132,6 +139,10 @@
         if (loads != null) {
             loads.scheduleSend();
         }
+        FleetLoads sums = fleetLoads;
+        if (sums != null) {
+            sums.onWorkChanged();
+        }
     }
 
     /** Replaces the limits on retries, and forgets the retries and requests counted so far. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/settings/SettingKey.java
@@ -60,6 +60,14 @@
     FLEET_GRACE("fleet", "grace", Type.DECIMAL, "8", 1, 3600, "seconds from SIGTERM to SIGKILL"),
     FLEET_LINK_CAPACITY(
             "fleet", "link", Type.DECIMAL, "0", 0, 1000000, "megabits/s each way; 0: unknown"),
+    FLEET_LOAD_SUMS(
+            "fleet",
+            "load-sums-from",
+            Type.NUMBER,
+            "0",
+            0,
+            100000,
+            "entry instances from which on they share sums of their load; 0: never"),
     FLEET_RETRY_RATIO("fleet", "retry-ratio", Type.DECIMAL, "0.2", 0, 10, "share of the requests"),
     FLEET_RETRY_SLACK(
             "fleet", "retry-slack", Type.DECIMAL, "50", 0, 1000000, "retries beside the ratio"),
--- a/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
+++ b/jayturn-wire/src/main/java/dev/jayturn/wire/WireTypes.java
@@ -73,6 +73,8 @@
 import dev.jayturn.core.fleet.PutConfiguration;
 import dev.jayturn.core.fleet.TokenAsk;
 import dev.jayturn.core.fleet.TokenGive;
+import dev.jayturn.core.loadview.WorkReport;
+import dev.jayturn.core.loadview.WorkSum;
 import dev.jayturn.core.membership.Announce;
 import dev.jayturn.core.membership.HubQuery;
 import dev.jayturn.core.membership.HubReading;
@@ -193,6 +195,8 @@
                     TokenGive.class,
                     LeaseStored.class,
                     LoadShare.class,
+                    WorkReport.class,
+                    WorkSum.class,
                     EvidenceShare.class,
                     RateShare.class,
                     PermitRequest.class,
