--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -18,14 +18,13 @@
 import dev.jayturn.core.fleet.Peer;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.limits.LinkPeer;
+import dev.jayturn.core.loadview.FleetLoads;
 import dev.jayturn.core.quarantine.EvidenceShare;
 import dev.jayturn.core.quarantine.EvidenceSharing;
 import dev.jayturn.core.quarantine.EvidenceTable;
 import dev.jayturn.core.quarantine.Quarantine;
-import dev.jayturn.core.quarantine.QuarantineListener;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.ColdUpstreams;
-import dev.jayturn.core.ratelimit.RateLimitListener;
 import dev.jayturn.core.ratelimit.UpstreamRateLimiter;
 import dev.jayturn.core.result.ResultCode;
 import dev.jayturn.core.resumption.StaleOriginGuard;
@@ -45,7 +44,6 @@
 import dev.jayturn.daemon.proxy.Forwarder;
 import dev.jayturn.daemon.proxy.HeaderCodec;
 import dev.jayturn.daemon.proxy.ProxyServer;
-import dev.jayturn.daemon.proxy.RequestFingerprint;
 import dev.jayturn.daemon.settings.SettingKey;
 import dev.jayturn.daemon.settings.Settings;
 import io.netty.channel.EventLoop;
@@ -63,8 +61,7 @@
  * Runs an entry instance, which forwards callers' requests to upstreams according to the
  * configuration, heartbeats and slices received from control instances.
  */
-public final class EntryProcess
-        implements FleetListener, FleetProcess, QuarantineListener, RateLimitListener {
+public final class EntryProcess implements FleetListener, FleetProcess {
     /** Time for the balancer to notice that the instance is not ready: two one-second checks. */
     private static final long BALANCER_NOTICE_MILLIS = 2_500;
 
@@ -93,6 +90,7 @@
     private final ConfigurationCodec codec;
     private final EventLog log;
     private final EventLoopTimers timers;
+    private final EntryEventLog events;
     private final Forwarder forwarder;
     private final HeadMemory headMemory;
     private final ProxyServer proxyServer;
@@ -102,8 +100,10 @@
     private final EvidenceTable evidence = new EvidenceTable();
     private final Quarantine quarantine;
     private final UpstreamRegistry upstreamRegistry = new UpstreamRegistry(this::kvCacheTokens);
+    private final ExpectedTimePlacement placement;
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
+    private @Nullable FleetLoads fleetLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
     private @Nullable StreamOrigins streamOrigins;
     private @Nullable StaleOriginGuard originGuard;
@@ -120,14 +120,12 @@
         this.codec = codec;
         this.log = log;
         this.timers = new EventLoopTimers(loop);
-        this.quarantine = new Quarantine(timers, evidence, this);
+        this.events = new EntryEventLog(log);
+        this.quarantine = new Quarantine(timers, evidence, events);
         this.linkLimiter =
                 new LinkLimiter(timers, settings.decimal(SettingKey.FLEET_LINK_CAPACITY));
-        Dispatcher dispatcher =
-                new Dispatcher(
-                        upstreamRegistry,
-                        new ExpectedTimePlacement(FleetSettings.location(settings), random),
-                        random);
+        this.placement = new ExpectedTimePlacement(FleetSettings.location(settings), random);
+        Dispatcher dispatcher = new Dispatcher(upstreamRegistry, placement, random);
         dispatcher.addFilter(new RegionFilter(FleetSettings.location(settings)));
         this.forwarder =
                 new Forwarder(
@@ -188,13 +186,14 @@
         PeerLoads loads = new PeerLoads(self, upstreamRegistry, transport, timers);
         entryInstance = entry;
         peerLoads = loads;
+        shareLoads(self, transport);
         UpstreamRateLimiter limiter =
                 new UpstreamRateLimiter(
                         self,
                         timers,
                         transport,
                         entry::controlAddresses,
-                        this,
+                        events,
                         forwarder::onPermits);
         rateLimiter = limiter;
         StreamOrigins origins = new StreamOrigins(self, timers, transport, entry::controlAddresses);
@@ -208,7 +207,7 @@
                         entry::isDirectoryCurrent,
                         entry::entryCount,
                         random,
-                        this::onCold);
+                        events::onCold);
         metrics.registerGauge("jayturn.upstreams.cold", cold::coldUpstreams);
         forwarder.setEntryInstance(entry, loads, limiter, cold, origins);
         entry.evacuation().setListener(this::onEmptied);
@@ -223,6 +222,20 @@
         log.event("entry.started", json -> json.writeStringField("instance", self));
     }
 
+    private void shareLoads(String self, LinkTransport transport) {
+        FleetLoads sums =
+                new FleetLoads(
+                        self,
+                        upstreamRegistry,
+                        transport,
+                        timers,
+                        (int) settings.number(SettingKey.FLEET_LOAD_SUMS));
+        fleetLoads = sums;
+        placement.setLoadView(sums);
+        forwarder.setFleetLoads(sums);
+        LoadViewLog.start(sums, timers, metrics, log);
+    }
+
     private void serveMetrics(EntryInstance entry, UpstreamRateLimiter limiter) {
         LoopDelayMeter loopDelay = LoopDelayLog.start(timers, log);
         metrics.registerGauge("jayturn.loop.delay.millis", loopDelay::maxDelayMillis);
@@ -275,10 +288,13 @@
     private void onMessage(Message message) {
         EntryInstance entry = entryInstance;
         PeerLoads loads = peerLoads;
+        FleetLoads sums = fleetLoads;
         UpstreamRateLimiter limiter = rateLimiter;
         StreamOrigins origins = streamOrigins;
         if (loads != null && message instanceof LoadShare share) {
             loads.onShare(share);
+        } else if (sums != null && sums.handle(message)) {
+            return;
         } else if (message instanceof EvidenceShare share) {
             quarantine.onShare(share);
         } else if (limiter != null && limiter.handle(message)) {
@@ -290,40 +306,6 @@
         }
     }
 
-    @Override
-    public void onQuarantined(String suspect, int ends) {
-        boolean isRequest = RequestFingerprint.isFingerprint(suspect);
-        log.event(
-                isRequest ? "request.quarantined" : "prompt.quarantined",
-                json -> {
-                    json.writeStringField(isRequest ? "fingerprint" : "part", suspect);
-                    json.writeNumberField("ends", ends);
-                });
-    }
-
-    @Override
-    public void onRateLimit(String upstream, double rate, long ageMillis) {
-        boolean limited = rate < Double.POSITIVE_INFINITY;
-        log.event(
-                "upstream.limit.changed",
-                json -> {
-                    json.writeStringField("upstream", upstream);
-                    json.writeBooleanField("limited", limited);
-                    if (limited) {
-                        json.writeNumberField("perSecond", rate);
-                    }
-                    json.writeNumberField("age", ageMillis);
-                });
-    }
-
-    @Override
-    public void onReleased(String suspect) {
-        boolean isRequest = RequestFingerprint.isFingerprint(suspect);
-        log.event(
-                isRequest ? "request.released" : "prompt.released",
-                json -> json.writeStringField(isRequest ? "fingerprint" : "part", suspect));
-    }
-
     @Override
     public void onPeers(List<Peer> peers) {
         PeerLoads loads = peerLoads;
@@ -332,6 +314,10 @@
         peers.forEach(peer -> addresses.add(peer.address()));
         if (loads != null && limiter != null) {
             loads.setPeers(addresses);
+            FleetLoads sums = fleetLoads;
+            if (sums != null) {
+                sums.setPeers(addresses);
+            }
             limiter.setInstances(addresses);
         }
     }
@@ -339,12 +325,7 @@
     private void onEmptied(long revision, List<String> dataCentres) {
         // Requests that wait for permits of upstreams there go elsewhere or are refused.
         forwarder.onPermits();
-        log.event(
-                "evacuation.applied",
-                json -> {
-                    json.writeNumberField("revision", revision);
-                    json.writeStringField("dataCentres", String.join(",", dataCentres));
-                });
+        events.onEmptied(revision, dataCentres);
     }
 
     private long obeyedVersion() {
@@ -358,15 +339,6 @@
         return configured == null ? 0 : configured.coldRequestsPerSecond();
     }
 
-    private void onCold(String upstream, long remainingMillis) {
-        log.event(
-                "upstream.cold",
-                json -> {
-                    json.writeStringField("upstream", upstream);
-                    json.writeNumberField("remaining", remainingMillis);
-                });
-    }
-
     private long kvCacheTokens(String service) {
         RouteTable table = routeTable;
         Service configured = table == null ? null : table.findService(service);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -17,6 +17,7 @@
 import dev.jayturn.core.fleet.EntryInstance;
 import dev.jayturn.core.limits.LinkLimiter;
 import dev.jayturn.core.limits.LinkPeer;
+import dev.jayturn.core.loadview.FleetLoads;
 import dev.jayturn.core.quarantine.Quarantine;
 import dev.jayturn.core.random.RandomSource;
 import dev.jayturn.core.ratelimit.ColdUpstreams;
@@ -56,6 +57,7 @@
     private final StartupQueue startupQueue = new StartupQueue();
     private @Nullable EntryInstance entryInstance;
     private @Nullable PeerLoads peerLoads;
+    private @Nullable FleetLoads fleetLoads;
     private @Nullable UpstreamRateLimiter rateLimiter;
     private @Nullable ColdUpstreams permits;
     private @Nullable StreamOrigins streamOrigins;
@@ -134,6 +136,11 @@
         dispatcher.addFilter(instance.evacuation());
     }
 
+    /** Sets the view of the load of a large fleet. */
+    public void setFleetLoads(FleetLoads loads) {
+        fleetLoads = loads;
+    }
+
     /** Returns whether this instance knows the upstreams as they are now. */
     boolean isDirectoryCurrent() {
         EntryInstance instance = entryInstance;
@@ -145,6 +152,10 @@
         if (loads != null) {
             loads.scheduleSend();
         }
+        FleetLoads sums = fleetLoads;
+        if (sums != null) {
+            sums.onWorkChanged();
+        }
     }
 
     /** Replaces the limits on retries, and forgets the retries and requests counted so far. */
