--- a/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/dispatch/ExpectedTimePlacement.java
@@ -55,8 +55,11 @@
     /** Upstreams at which a prefix is preferred, for each one that its share of the load fills. */
     private static final double PREFERRED_UPSTREAMS_FACTOR = 2;
 
-    /** The same while nothing is known of the other instances, so that nobody sees a queue grow. */
-    private static final double PREFERRED_UPSTREAMS_FACTOR_UNSEEN = 3;
+    /** The same while no upstream has a queue: reading a prefix once more then delays nobody. */
+    private static final double MAX_PREFERRED_UPSTREAMS_FACTOR = 3;
+
+    /** Mean waiting time at which half of the additional upstreams are left. */
+    private static final double HALF_PREFERRED_QUEUE_MILLIS = 50;
 
     /**
      * Mean waiting time at the upstreams that adds one to the weight of reading a prefix again: it
@@ -67,6 +70,12 @@
     /** Share of the time since the sums in which upstreams got work that the sums do not show. */
     private static final double UNSEEN_WORK_RATE = 0.4;
 
+    /**
+     * Weight of work that the sums do not show yet in the cost of another region: instances there
+     * see it sooner, and fill their upstreams themselves.
+     */
+    private static final double FAR_UNSEEN_WEIGHT = 3;
+
     /** Sums older than this say no less. */
     private static final long MAX_AGE_MILLIS = 600;
 
@@ -97,7 +106,7 @@
         // If most upstreams are unreachable, this instance's own network has probably failed.
         boolean isOwnNetworkSuspect = reachable.size() < MIN_REACHABLE_SHARE * upstreams.size();
         List<UpstreamLoad> candidates = isOwnNetworkSuspect ? upstreams : reachable;
-        return view.isShared() && !candidates.isEmpty()
+        return view.isShared() && !candidates.isEmpty() && profile.promptTokens() > 0
                 ? spread(profile, candidates, nowMillis)
                 : lowestCost(profile, candidates);
     }
@@ -130,53 +139,72 @@
         return expectedMillis * jitter * (1 + FAILURE_FACTOR * upstream.failureRate());
     }
 
-    /** Chooses by sums of an earlier time; see {@link UnseenWork}. */
+    /**
+     * Chooses by sums of an earlier time; see {@link UnseenWork}. Each region has its own order of
+     * upstreams for a prefix, so that work stays near.
+     */
     private Choice spread(RequestProfile profile, List<UpstreamLoad> upstreams, long nowMillis) {
         double[] queues = new double[upstreams.size()];
+        List<UpstreamLoad> near = new ArrayList<>();
+        List<UpstreamLoad> far = new ArrayList<>();
         double unseenMillis = 0;
         double queueSum = 0;
-        boolean isKnown = false;
         for (int i = 0; i < queues.length; i++) {
             UpstreamLoad upstream = upstreams.get(i);
+            (isNear(upstream) ? near : far).add(upstream);
             queues[i] = upstream.waitingTokens() / upstream.promptTokensPerMilli();
             long age = upstream.peerLoadAgeMillis(nowMillis);
             if (age != Long.MAX_VALUE) {
-                isKnown = true;
                 // What waited when the sums were made has been read since.
                 queues[i] = Math.max(queues[i], queueMillis(upstream) - age);
                 unseenMillis += UNSEEN_WORK_RATE * Math.min(MAX_AGE_MILLIS, age);
             }
             queueSum += queues[i];
         }
-        PrefixRanks ranks = new PrefixRanks(profile.affinityKey(), upstreams);
-        double preferred = 0;
-        if (ranks.hasPrefix()) {
-            double share =
-                    prefixShares.add(profile.affinityKey(), profile.promptTokens(), nowMillis);
-            double factor =
-                    isKnown ? PREFERRED_UPSTREAMS_FACTOR : PREFERRED_UPSTREAMS_FACTOR_UNSEEN;
-            preferred = Math.max(1, factor * share * upstreams.size());
-        }
-        double rereadWeight =
-                PREFIX_REREAD_WEIGHT + queueSum / queues.length / QUEUE_MILLIS_OF_A_WEIGHT;
+        double unseenMean = unseenMillis / queues.length;
+        double queueMean = queueSum / queues.length;
+        double preferredShare = preferredShare(profile, queueMean, nowMillis);
+        PrefixRanks nearRanks = new PrefixRanks(profile.affinityKey(), near);
+        PrefixRanks farRanks = new PrefixRanks(profile.affinityKey(), far);
+        int nearCount = 0;
+        double rereadWeight = PREFIX_REREAD_WEIGHT + queueMean / QUEUE_MILLIS_OF_A_WEIGHT;
         double[] millis = new double[queues.length];
         double[] costs = new double[queues.length];
         for (int i = 0; i < costs.length; i++) {
-            double cachedShare = ranks.hasPrefix() ? cachedShare(ranks.rank(i), preferred) : 0;
             UpstreamLoad upstream = upstreams.get(i);
+            boolean isNear = isNear(upstream);
+            double cachedShare =
+                    isNear
+                            ? cachedShare(nearRanks, nearCount++, preferredShare * near.size())
+                            : cachedShare(farRanks, i - nearCount, preferredShare * far.size());
             millis[i] = expectedMillis(profile, upstream, cachedShare, rereadWeight, queues[i]);
-            costs[i] = cost(upstream, millis[i]);
+            costs[i] = cost(upstream, millis[i]) + (isNear ? 0 : FAR_UNSEEN_WEIGHT * unseenMean);
         }
         int chosen = UnseenWork.choose(costs, unseenMillis, random);
         return new Choice(upstreams.get(chosen), millis[chosen]);
     }
 
+    /** Returns the share of a region's upstreams at which the prefix of a request is preferred. */
+    private double preferredShare(RequestProfile profile, double queueMean, long nowMillis) {
+        double additional = MAX_PREFERRED_UPSTREAMS_FACTOR - PREFERRED_UPSTREAMS_FACTOR;
+        double factor =
+                PREFERRED_UPSTREAMS_FACTOR
+                        + additional / (1 + queueMean / HALF_PREFERRED_QUEUE_MILLIS);
+        String affinity = profile.affinityKey();
+        return affinity.isEmpty()
+                ? 0
+                : factor * prefixShares.add(affinity, profile.promptTokens(), nowMillis);
+    }
+
     /**
      * Returns the share of a prefix that is assumed to be cached at an upstream: all of it where it
      * is preferred, and less further down, so that what leaves those goes to a few others.
      */
-    private static double cachedShare(int rank, double preferredUpstreams) {
-        double share = Math.min(1, preferredUpstreams / (rank + 1));
+    private static double cachedShare(PrefixRanks ranks, int upstream, double preferred) {
+        if (!ranks.hasPrefix()) {
+            return 0;
+        }
+        double share = Math.min(1, Math.max(1, preferred) / (ranks.rank(upstream) + 1));
         return share * share;
     }
 
@@ -184,8 +212,12 @@
         return upstream.totalWaitingTokens() / upstream.promptTokensPerMilli();
     }
 
-    private static double occupancy(UpstreamLoad upstream) {
-        return (upstream.totalInFlight() + 1.0) / upstream.heartbeat().slots();
+    private boolean isNear(UpstreamLoad upstream) {
+        return location.isSameRegion(upstream.heartbeat().dataCentre());
+    }
+
+    private static double occupancy(UpstreamLoad upstream, int inFlight) {
+        return (inFlight + 1.0) / upstream.heartbeat().slots();
     }
 
     private double expectedMillis(
@@ -196,9 +228,10 @@
             double queueMillis) {
         double roundTrip =
                 location.isSameRegion(upstream.heartbeat().dataCentre()) ? 0 : CROSS_REGION_MILLIS;
-        double occupancy = occupancy(upstream);
         if (profile.promptTokens() == 0) {
-            double excess = Math.max(0, occupancy - FREE_OCCUPANCY);
+            // Requests to plain services end sooner than a sum of them arrives.
+            int known = view.isShared() ? upstream.inFlight() : upstream.totalInFlight();
+            double excess = Math.max(0, occupancy(upstream, known) - FREE_OCCUPANCY);
             return roundTrip + upstream.requestMillis() * (1 + excess);
         }
         double cached =
@@ -207,6 +240,7 @@
                         assumedCachedShare * profile.sharedPrefixTokens());
         double uncached = Math.max(0, profile.promptTokens() - cached);
         double uncachedPrefix = Math.max(0, profile.sharedPrefixTokens() - cached);
+        double occupancy = occupancy(upstream, upstream.totalInFlight());
         double batchDelay =
                 FULL_BATCH_DELAY_MILLIS * occupancy
                         + QUEUED_BATCH_DELAY_MILLIS * Math.max(0, occupancy - 1);
