--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceTable.java
@@ -1,8 +1,10 @@
 package dev.jayturn.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -49,6 +51,12 @@
     /** The ends by suspect and by upstream; suspects with the newest ends are the last ones. */
     private final Map<String, Map<String, End>> endsBySuspect = new LinkedHashMap<>();
 
+    /** Independent ends by suspect, counted when they are asked for. */
+    private final Map<String, Integer> independentEnds = new HashMap<>();
+
+    /** Sorted times of all ends by upstream; empty if they have to be collected again. */
+    private final Map<String, long[]> endTimesByUpstream = new HashMap<>();
+
     private static final class End {
         final long millis;
         final String request;
@@ -95,6 +103,7 @@
         Map<String, End> changed = new LinkedHashMap<>(ends);
         changed.put(upstream, end);
         endsBySuspect.put(suspect, changed);
+        onChanged(suspect);
         if (changed.size() > MAX_ENDS_OF_A_SUSPECT) {
             removeLeastUseful(changed);
         }
@@ -129,6 +138,12 @@
             }
         }
         endsBySuspect.remove(evicted);
+        onChanged(evicted);
+    }
+
+    private void onChanged(String suspect) {
+        independentEnds.remove(suspect);
+        endTimesByUpstream.clear();
     }
 
     /** Clears the ends of a suspect up to a time; returns whether one was not cleared before. */
@@ -138,6 +153,7 @@
             changed |= !end.cleared && end.millis <= millis;
             end.cleared |= end.millis <= millis;
         }
+        onCleared(suspect);
         return changed;
     }
 
@@ -148,9 +164,15 @@
             changed |= !end.cleared && end.circumstantial;
             end.cleared |= end.circumstantial;
         }
+        onCleared(part);
         return changed;
     }
 
+    /** Cleared ends still count among all ends. */
+    private void onCleared(String suspect) {
+        independentEnds.remove(suspect);
+    }
+
     /** Adds the evidence of another instance; returns the suspects with new evidence. */
     public Set<String> merge(EvidenceShare share, long nowMillis) {
         Set<String> changed = new HashSet<>();
@@ -184,6 +206,7 @@
         boolean clears = end.cleared() && (known.circumstantial || !end.circumstantial());
         boolean newlyCleared = clears && !known.cleared;
         known.cleared |= clears;
+        onCleared(suspect);
         return newlyCleared;
     }
 
@@ -210,32 +233,60 @@
         List<End> own = unclearedEnds(suspect);
         long first = own.get(0).millis;
         long last = own.get(own.size() - 1).millis;
-        Set<String> upstreams = new HashSet<>();
-        for (Map<String, End> ends : endsBySuspect.values()) {
-            ends.forEach(
-                    (upstream, end) -> {
-                        if (end.millis >= first && end.millis <= last) {
-                            upstreams.add(upstream);
-                        }
-                    });
+        int remaining = own.size() * MAX_ENDS_PER_EXPLAINED;
+        for (long[] millis : endTimesByUpstream().values()) {
+            if (isAnyBetween(millis, first, last) && --remaining < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isAnyBetween(long[] sorted, long first, long last) {
+        int index = Arrays.binarySearch(sorted, first);
+        int next = index < 0 ? -index - 1 : index;
+        return next < sorted.length && sorted[next] <= last;
+    }
+
+    private Map<String, long[]> endTimesByUpstream() {
+        if (endTimesByUpstream.isEmpty()) {
+            Map<String, List<Long>> times = new HashMap<>();
+            for (Map<String, End> ends : endsBySuspect.values()) {
+                ends.forEach(
+                        (upstream, end) ->
+                                times.computeIfAbsent(upstream, key -> new ArrayList<>())
+                                        .add(end.millis));
+            }
+            times.forEach(
+                    (upstream, millis) ->
+                            endTimesByUpstream.put(
+                                    upstream,
+                                    millis.stream().mapToLong(Long::longValue).sorted().toArray()));
         }
-        return own.size() * MAX_ENDS_PER_EXPLAINED >= upstreams.size();
+        return endTimesByUpstream;
     }
 
     private boolean isRequest(String suspect) {
-        return endsOf(suspect).values().stream().allMatch(end -> end.request.equals(suspect));
+        for (End end : endsOf(suspect).values()) {
+            if (!end.request.equals(suspect)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Returns whether one request, which is itself suspect, explains all ends of a part. */
     private boolean isExplainedByARequest(String part) {
         Set<String> upstreams = unclearedUpstreams(part);
-        return !isRequest(part)
-                && endsBySuspect.keySet().stream()
-                        .anyMatch(
-                                other ->
-                                        isRequest(other)
-                                                && unclearedUpstreams(other)
-                                                        .containsAll(upstreams));
+        if (isRequest(part)) {
+            return false;
+        }
+        for (String other : endsBySuspect.keySet()) {
+            if (isRequest(other) && explainsAll(other, upstreams)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns whether another suspect explains all ends of this one, and more. */
@@ -243,18 +294,35 @@
         Set<String> upstreams = unclearedUpstreams(suspect);
         for (String other : endsBySuspect.keySet()) {
             int others = countIndependentEnds(other);
-            if (others > count
-                    && isEnough(other, others)
-                    && unclearedUpstreams(other).containsAll(upstreams)) {
+            if (others > count && explainsAll(other, upstreams) && isEnough(other, others)) {
                 return true;
             }
         }
         return false;
     }
 
+    private boolean explainsAll(String suspect, Set<String> upstreams) {
+        Map<String, End> ends = endsOf(suspect);
+        for (String upstream : upstreams) {
+            End end = ends.get(upstream);
+            if (end == null || end.cleared) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns the number of uncleared ends that cannot have a common cause. */
     public int countIndependentEnds(String suspect) {
-        return countIndependent(unclearedEnds(suspect));
+        Integer known = independentEnds.get(suspect);
+        if (known != null) {
+            return known;
+        }
+        int count = countIndependent(unclearedEnds(suspect));
+        if (endsBySuspect.containsKey(suspect)) {
+            independentEnds.put(suspect, count);
+        }
+        return count;
     }
 
     private static int countIndependent(List<End> ends) {
@@ -363,6 +431,8 @@
 
     /** Drops ends that are too old to matter. */
     public void removeExpired(long nowMillis) {
+        independentEnds.clear();
+        endTimesByUpstream.clear();
         Iterator<Map<String, End>> all = endsBySuspect.values().iterator();
         while (all.hasNext()) {
             Map<String, End> ends = all.next();
