Remember at most one unanswered request of a connection

What callers saw: nothing yet; found in a review. A connection that is to be closed and whose caller does not read the last response stays open until the idle timeout. Everything that the caller sends meanwhile is decoded to be discarded.

Cause: the codec kept the method of each decoded request until its response. Discarded requests have none, so a caller could add an entry, and an object for each unknown method, with every few bytes.

Evidence: RequestCodecTest failed before (1 of 3 cases; more than one of 10,000 discarded requests was remembered). Real processes were not tried.

Change: the codec keeps the method of the first unanswered request only. Requests of a connection are decoded one at a time, and the head of a response is encoded before the next request is decoded.

Result: RequestCodecTest 3 of 3.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
@@ -20,11 +20,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.Queue;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -46,9 +44,12 @@
     private final String part;
     private final RequestGate gate;
     private final HeadBudget.Claim claim;
-    private final Queue<HttpMethod> methods = new ArrayDeque<>();
     private final Decoder decoder;
     private @Nullable ChannelHandlerContext context;
+
+    /** Method of the request that waits for the head of its response. */
+    private @Nullable HttpMethod unansweredMethod;
+
     private long occupiedBytes;
     private boolean discarding;
     private boolean resuming;
@@ -120,7 +121,10 @@
             long claimedBytes = occupiedBytes;
             for (Object decoded : out) {
                 if (decoded instanceof HttpRequest request) {
-                    methods.add(request.method());
+                    if (unansweredMethod == null) {
+                        // Those behind an unanswered request are decoded only to be discarded.
+                        unansweredMethod = request.method();
+                    }
                     insideHead = false;
                     headBytes = occupiedBytes;
                 }
@@ -173,7 +177,8 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return super.isContentAlwaysEmpty(response);
             }
-            method = methods.poll();
+            method = unansweredMethod;
+            unansweredMethod = null;
             return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(response);
         }
 
@@ -202,6 +207,11 @@
         releaseHead();
     }
 
+    /** Returns the number of decoded requests that wait for the head of their response. */
+    int unansweredRequests() {
+        return unansweredMethod == null ? 0 : 1;
+    }
+
     private ChannelHandlerContext requireContext() {
         return Objects.requireNonNull(context);
     }
--- /dev/null
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/head/RequestCodecTest.java
@@ -0,0 +1,99 @@
+package dev.jayturn.daemon.head;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.jayturn.daemon.eventlog.EventLog;
+import dev.jayturn.daemon.metrics.FleetMetrics;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** What the codec of a connection keeps, and how it encodes the responses. */
+final class RequestCodecTest {
+    private static final int DISCARDED_REQUESTS = 10_000;
+    private static final int CAPACITY_MEGABYTES = 1;
+
+    /** As that of a connection that closes: decodes everything, to discard it. */
+    private static final class OpenGate implements RequestGate {
+        @Override
+        public boolean isPaused() {
+            return false;
+        }
+
+        @Override
+        public boolean isReadingStopped() {
+            return false;
+        }
+
+        @Override
+        public boolean isRunning() {
+            return false;
+        }
+
+        @Override
+        public void onHeadRefused() {}
+    }
+
+    private final HeadMemory memory =
+            new HeadMemory(
+                    CAPACITY_MEGABYTES,
+                    new EventLog(OutputStream.nullOutputStream(), System::currentTimeMillis, 0),
+                    new FleetMetrics());
+    private final RequestCodec codec =
+            new RequestCodec(new HttpDecoderConfig(), memory, "test", new OpenGate());
+    private final EmbeddedChannel channel = new EmbeddedChannel(codec);
+
+    private void receive(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        channel.releaseInbound();
+    }
+
+    private String respond() {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.OK,
+                        Unpooled.copiedBuffer("body", StandardCharsets.ISO_8859_1));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 4);
+        channel.writeOutbound(response);
+        StringBuilder sent = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            sent.append(part.toString(StandardCharsets.ISO_8859_1));
+            part.release();
+        }
+        return sent.toString();
+    }
+
+    @Test
+    void requestsThatAreDiscardedUnansweredLeaveNothingBehind() {
+        for (int i = 0; i < DISCARDED_REQUESTS; i++) {
+            receive("M" + i + " / HTTP/1.1\r\n\r\n");
+        }
+        assertThat(codec.unansweredRequests()).isLessThanOrEqualTo(1);
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void onlyResponsesToHeadRequestsHaveNoBody() {
+        receive("HEAD / HTTP/1.1\r\n\r\n");
+        assertThat(respond()).endsWith("\r\n\r\n");
+        receive("GET / HTTP/1.1\r\n\r\n");
+        assertThat(respond()).endsWith("\r\n\r\nbody");
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void firstUnansweredRequestDecidesAboutTheBodyOfTheResponse() {
+        receive("GET / HTTP/1.1\r\n\r\nHEAD / HTTP/1.1\r\n\r\n");
+        assertThat(respond()).endsWith("\r\n\r\nbody");
+        channel.finishAndReleaseAll();
+    }
+}
