Blame parts of requests that waited long before their upstream ended

Callers saw upstreams end one after the other: behind queues of more than 1.5 s, a part of the prompt that ends upstreams was not found.

Cause: only requests that had been sent for at most 1.5 s blamed their parts, and nobody knows how long a request without a head had waited.

Change: without a head, the parts are blamed circumstantially however long it was. As requests with a new sound part wait at many upstreams, such ends count only once requests with the part have been sent for twice as long as the longest of them had waited. No message changes.

Evidence: CircumstantialEvidenceTest, ten cases with a crashing part and waits of 4 and 8 s: 10 failed before, 0 after; ten calm ones: 1 failed before, 0 after. QuarantineTest, CrashingPartTest, RestartedEvidenceTest, CrashingRequestFleetTest, ManySuspectsTest, CrashingPromptTest, CrashingRequestTest: green.

Conclusion: found behind queues of some seconds; not all of longer ones, and ends that a request's own time-out hides are still not evidence.

--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/CutOff.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/CutOff.java
@@ -10,6 +10,7 @@
  * @param parts ids of the parts of its prompt that other prompts may share
  * @param ownParts ids of the parts that belong to the request or its session
  * @param upstream id and incarnation of the upstream
+ * @param responseBegun whether a response had begun
  * @param beforeAnEvent whether a response had begun, without an event
  * @param ranMillis time since the response began, or since the request was sent if it did not
  * @param sentMillis time when the request was sent
@@ -19,10 +20,11 @@
         List<String> parts,
         List<String> ownParts,
         String upstream,
+        boolean responseBegun,
         boolean beforeAnEvent,
         long ranMillis,
         long sentMillis) {
-    /** Creates a record of a request without a part of its own. */
+    /** Creates a record of a request without a part of its own, whose response had begun. */
     public CutOff(
             String request,
             List<String> parts,
@@ -30,7 +32,7 @@
             boolean beforeAnEvent,
             long ranMillis,
             long sentMillis) {
-        this(request, parts, List.of(), upstream, beforeAnEvent, ranMillis, sentMillis);
+        this(request, parts, List.of(), upstream, true, beforeAnEvent, ranMillis, sentMillis);
     }
 
     /** Returns the ids of all parts of the prompt. */
--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceTable.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/EvidenceTable.java
@@ -33,6 +33,12 @@
      */
     private static final int MAX_ENDS_PER_EXPLAINED = 3;
 
+    /**
+     * A part is in quarantine by circumstantial ends only if its requests have been sent for so
+     * many times as long as one of them had waited when its upstream ended.
+     */
+    private static final int WAITS_UNTIL_COMPLETE = 2;
+
     /** Time after the last end for which a suspect stays in quarantine. */
     public static final long QUARANTINE_MILLIS = 600_000;
 
@@ -225,13 +231,31 @@
         List<End> certain = new ArrayList<>(unclearedEnds(suspect));
         certain.removeIf(end -> end.circumstantial);
         return countIndependent(certain) >= QUARANTINE_ENDS
-                || (count >= CIRCUMSTANTIAL_QUARANTINE_ENDS && explainsItsShare(suspect));
+                || (count >= CIRCUMSTANTIAL_QUARANTINE_ENDS
+                        && hadTimeToComplete(suspect)
+                        && explainsItsShare(suspect));
+    }
+
+    /**
+     * Returns whether a sound part would have had a complete response by its last end. Behind long
+     * queues the requests with a new part wait at many upstreams and end with any of them.
+     */
+    private boolean hadTimeToComplete(String suspect) {
+        long firstSent = Long.MAX_VALUE;
+        long lastEnd = Long.MIN_VALUE;
+        long longestWait = 0;
+        for (End end : unclearedEnds(suspect)) {
+            firstSent = Math.min(firstSent, end.sentMillis);
+            lastEnd = Math.max(lastEnd, end.millis);
+            longestWait = Math.max(longestWait, end.millis - end.sentMillis);
+        }
+        return lastEnd - firstSent >= WAITS_UNTIL_COMPLETE * longestWait;
     }
 
     /** Returns whether a suspect explains its share of all ends since its first one. */
     private boolean explainsItsShare(String suspect) {
         List<End> own = unclearedEnds(suspect);
-        long first = own.get(0).millis;
+        long first = own.stream().mapToLong(end -> end.sentMillis).min().orElse(0);
         long last = own.get(own.size() - 1).millis;
         int remaining = own.size() * MAX_ENDS_PER_EXPLAINED;
         for (long[] millis : endTimesByUpstream().values()) {
--- a/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/quarantine/Quarantine.java
@@ -22,9 +22,10 @@
  * <p>A request is blamed if an upstream ends soon after it was sent or its response began. A part
  * is blamed with certainty if an upstream ends after the head of a response and before its first
  * event. The head and the first events may be lost with the process that wrote them, so the parts
- * of every blamed request are suspect, but those that have had a complete response are bystanders,
- * and more ends are needed. A complete response clears the request and the parts. So what many
- * sound requests share is cleared within moments, and what only crashes upstreams never is.
+ * of every blamed request, and of each that waited without a response, are suspect, but those that
+ * have had a complete response are bystanders, and more ends are needed. A complete response clears
+ * the request and the parts. So what many sound requests share is cleared within moments, and what
+ * only crashes upstreams never is.
  */
 public final class Quarantine {
     /** After a quarantine has ended, one request with the part is sent in this time. */
@@ -154,7 +155,9 @@
         }
         boolean explained = isExplained(cutOff);
         blame(suspects, cutOff.upstream(), cutOff.request(), cutOff.sentMillis());
-        if (isRequestSuspect && !cutOff.beforeAnEvent()) {
+        // Without a response it is not known how long the request waited before it ran.
+        boolean mayHaveCrashed = isRequestSuspect || !cutOff.responseBegun();
+        if (mayHaveCrashed && !cutOff.beforeAnEvent()) {
             blameCircumstantially(cutOff, explained);
         }
         return (!isRequestSuspect || isRequestRetryAllowed(cutOff.request()))
--- a/jayturn-core/src/test/java/dev/jayturn/core/quarantine/CircumstantialEvidenceTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/quarantine/CircumstantialEvidenceTest.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Ends of upstreams that show neither the head of a response nor that there was none. */
@@ -22,6 +24,7 @@
     private static final int STEP_MILLIS = 10;
     private static final int STEPS = 6_000;
     private static final int RESTART_MILLIS = 2_000;
+    private static final int VERY_LONG_WAIT_MILLIS = 12_000;
 
     private final VirtualTime time = new VirtualTime();
     private final Set<String> everQuarantined = new HashSet<>();
@@ -51,8 +54,10 @@
                 new CutOff(
                         "request-" + ++requests,
                         parts,
+                        List.of(),
                         upstream,
                         false,
+                        false,
                         80,
                         time.nowMillis() - 80));
     }
@@ -150,6 +155,7 @@
                         List.of(session),
                         upstream,
                         beforeAnEvent,
+                        beforeAnEvent,
                         80,
                         time.nowMillis() - 80));
     }
@@ -198,8 +204,10 @@
         private final List<Long> crashMillis = new ArrayList<>();
         private final List<Long> crashingSentMillis = new ArrayList<>();
         private int refused;
+        private final int maxWaitMillis;
 
-        Simulation(long seed) {
+        Simulation(long seed, int maxWaitMillis) {
+            this.maxWaitMillis = maxWaitMillis;
             random = new Random(seed);
             for (int i = 0; i < UPSTREAMS; i++) {
                 upstreams.add(new ArrayList<>());
@@ -230,6 +238,9 @@
                 return;
             }
             long duration = crashing ? 80 + random.nextInt(200) : 300 + random.nextInt(1_700);
+            if (maxWaitMillis > 0) {
+                duration += maxWaitMillis / 4 + random.nextInt(3 * maxWaitMillis / 4);
+            }
             upstreams
                     .get(upstream)
                     .add(new Running("r" + requests, parts, now, now + duration, crashing));
@@ -273,8 +284,10 @@
                         new CutOff(
                                 running.request(),
                                 running.parts(),
+                                List.of(),
                                 id,
                                 false,
+                                false,
                                 ran,
                                 running.sentMillis()));
             }
@@ -287,7 +300,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void noSoundPartIsRefusedWhileUpstreamsEndByThemselves(long seed) {
-        Simulation simulation = new Simulation(seed);
+        Simulation simulation = new Simulation(seed, 0);
         for (int step = 0; step < STEPS; step++) {
             simulation.send(false);
             simulation.run();
@@ -303,7 +316,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void crashingPartIsRefusedAndNoSoundOneBesideIt(long seed) {
-        Simulation simulation = new Simulation(seed);
+        Simulation simulation = new Simulation(seed, 0);
         for (int step = 0; step < STEPS; step++) {
             simulation.send(step > 500 && simulation.random.nextInt(100) == 0);
             simulation.run();
@@ -313,4 +326,79 @@
         assertThat(simulation.refused).isZero();
         assertThat(everQuarantined).containsExactly("bad");
     }
+
+    private void assertNoSoundPartIsRefusedBehindQueues(long seed, int maxWaitMillis) {
+        Simulation simulation = new Simulation(seed, maxWaitMillis);
+        for (int step = 0; step < STEPS; step++) {
+            simulation.send(false);
+            simulation.run();
+            if (step % 100 == 0) {
+                simulation.end(simulation.random.nextInt(UPSTREAMS));
+            }
+            time.runFor(STEP_MILLIS);
+        }
+        assertThat(simulation.refused).isZero();
+        assertThat(everQuarantined).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "1, 4000",
+        "2, 4000",
+        "3, 4000",
+        "4, 4000",
+        "5, 4000",
+        "6, 8000",
+        "7, 8000",
+        "8, 8000",
+        "9, 8000",
+        "10, 8000"
+    })
+    void noSoundPartIsRefusedWhileUpstreamsWithLongQueuesEndByThemselves(
+            long seed, int maxWaitMillis) {
+        assertNoSoundPartIsRefusedBehindQueues(seed, maxWaitMillis);
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void noSoundPartIsRefusedWhileUpstreamsWithVeryLongQueuesEndByThemselves(long seed) {
+        assertNoSoundPartIsRefusedBehindQueues(seed, VERY_LONG_WAIT_MILLIS);
+    }
+
+    private void assertCrashingPartIsRefusedBehindQueues(long seed, int maxWaitMillis) {
+        Simulation simulation = new Simulation(seed, maxWaitMillis);
+        for (int step = 0; step < 2 * STEPS; step++) {
+            simulation.send(step > 2_000 && simulation.random.nextInt(200) == 0);
+            simulation.run();
+            time.runFor(STEP_MILLIS);
+        }
+        simulation.assertFewAreSentAfterTheFifthCrash();
+        assertThat(simulation.refused).isZero();
+        assertThat(everQuarantined).containsExactly("bad");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "1, 4000",
+        "2, 4000",
+        "3, 4000",
+        "4, 4000",
+        "5, 4000",
+        "6, 8000",
+        "7, 8000",
+        "8, 8000",
+        "9, 8000",
+        "10, 8000"
+    })
+    void crashingPartIsRefusedAlthoughItsRequestsWaitInLongQueues(long seed, int maxWaitMillis) {
+        assertCrashingPartIsRefusedBehindQueues(seed, maxWaitMillis);
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void crashingPartIsRefusedAlthoughItsRequestsWaitInVeryLongQueues(long seed) {
+        assertCrashingPartIsRefusedBehindQueues(seed, VERY_LONG_WAIT_MILLIS);
+    }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -320,6 +320,7 @@
                 exchange.quarantineCheck()
                         .onCutOff(
                                 upstream.heartbeat().incarnationId(),
+                                responseStarted,
                                 beforeAnEvent,
                                 ranMillis(),
                                 sentMillis);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/QuarantineCheck.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/QuarantineCheck.java
@@ -79,17 +79,24 @@
      * Records that an upstream broke off the request, and returns whether another one may get it
      * without a risk that it crashes too.
      *
+     * @param responseBegun whether a response had begun
      * @param beforeAnEvent whether a response had begun, without an event
      * @param ranMillis time since the response began, or since the request was sent if it did not
      * @param sentMillis time when the request was sent
      */
-    boolean onCutOff(String upstream, boolean beforeAnEvent, long ranMillis, long sentMillis) {
+    boolean onCutOff(
+            String upstream,
+            boolean responseBegun,
+            boolean beforeAnEvent,
+            long ranMillis,
+            long sentMillis) {
         return quarantine.onCutOff(
                 new CutOff(
                         fingerprint(),
                         profile.sharedPartIds(),
                         profile.ownPartIds(),
                         upstream,
+                        responseBegun,
                         beforeAnEvent,
                         ranMillis,
                         sentMillis));
