Name a test of certain ends after what it checks

QuarantineTest said that a part is blamed only after a head and before an event. Other ends blame it too now, with less weight; three of them do not condemn, which is what it checks. Only the name changes.

Measured: QuarantineTest passes.

Conclusion: the checks are as they were.

--- a/jayturn-core/src/test/java/dev/jayturn/core/quarantine/QuarantineTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/quarantine/QuarantineTest.java
@@ -317,7 +317,7 @@
     }
 
     @Test
-    void partIsBlamedOnlyAfterAHeadAndBeforeAnEvent() {
+    void partIsRefusedAfterThreeEndsOnlyIfTheyCameAfterAHeadAndBeforeAnEvent() {
         for (int i = 0; i < 3; i++) {
             cutOff("stream" + i, "u" + i, false, 80);
             time.runFor(500);
