--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Attempt.java
@@ -322,6 +322,7 @@
                 exchange.quarantineCheck()
                         .onCutOff(
                                 upstream.heartbeat().incarnationId(),
+                                responseStarted,
                                 beforeAnEvent,
                                 ranMillis(),
                                 sentMillis);
