Go on in a cut at upstreams whose connections have been kept

Cause: an instance that cannot know whether an upstream is cold used only its equal part of what a cold one tolerates, also where it was in the middle of serving. Change: an upstream to which the instance has had a connection since its directory was current has not restarted, and gets its usual requests. The first moment without a connection, or a broken response, ends that until the directory is current again. Three new cases of ColdUpstreamsTest (the first failed by construction: a part of 24 was the limit); ColdUpstreamsTest and ColdUpstreamFleetTest pass. Left: an upstream that turns cold in a cut without a restart.

--- a/jayturn-core/src/main/java/dev/jayturn/core/ratelimit/ColdUpstreams.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/ratelimit/ColdUpstreams.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 
@@ -22,7 +23,8 @@
  * <p>Answers this pattern: many upstreams come back at once, idle, so that every instance prefers
  * them. While an upstream is cold, requests to it need permits of an {@link UpstreamRateLimiter}.
  * An instance that does not know the upstreams as they are now can't be told that one has become
- * cold; it keeps within an equal part of what each one tolerates, without asking anybody.
+ * cold. It goes on as before with those to which it has kept a connection; for the others it keeps
+ * within an equal part of what each one tolerates, without asking anybody.
  */
 public final class ColdUpstreams implements RateLimits {
     /**
@@ -77,6 +79,7 @@
     private final IntSupplier instances;
     private final ColdListener listener;
     private final RandomSource random;
+    private Predicate<Heartbeat> hasConnection = heartbeat -> false;
     private final Map<String, Upstream> byId = new HashMap<>();
 
     /** Whether a service with a limit was seen; otherwise nothing is looked up. */
@@ -108,6 +111,7 @@
         double statedRate = Double.POSITIVE_INFINITY;
         long nextUnaskedMillis = Long.MIN_VALUE / 2;
         boolean unknown;
+        boolean contactKept;
         long suspectUntilMillis = Long.MIN_VALUE / 2;
 
         Upstream(Heartbeat heartbeat) {
@@ -142,6 +146,15 @@
         timers.every(TICK_MILLIS, this::tick);
     }
 
+    /**
+     * Sets how to find out whether this instance has a connection to an upstream. One that was
+     * opened while the directory was current and is still open shows that the upstream has not
+     * restarted since.
+     */
+    public void setConnectionCheck(Predicate<Heartbeat> check) {
+        hasConnection = check;
+    }
+
     /** Applies a heartbeat; older ones than already applied are ignored. */
     public void onHeartbeat(Heartbeat heartbeat) {
         if (!HeartbeatValidator.isValid(heartbeat)) {
@@ -184,6 +197,7 @@
         Upstream upstream = find(incarnationId);
         if (upstream != null) {
             upstream.suspectUntilMillis = timers.nowMillis() + SUSPICION_MILLIS;
+            upstream.contactKept &= isDirectoryCurrent.getAsBoolean();
         }
     }
 
@@ -293,9 +307,14 @@
 
     /** Returns whether it is known whether the upstream is cold, or does not matter. */
     private boolean isKnown(Upstream upstream) {
-        return tolerated(upstream) <= 0
-                || (isDirectoryCurrent.getAsBoolean()
-                        && timers.nowMillis() >= upstream.suspectUntilMillis);
+        if (tolerated(upstream) <= 0) {
+            return true;
+        }
+        // Once lost, contact proves nothing until the directory is current again.
+        upstream.contactKept =
+                isDirectoryCurrent.getAsBoolean()
+                        || (upstream.contactKept && hasConnection.test(upstream.heartbeat));
+        return upstream.contactKept && timers.nowMillis() >= upstream.suspectUntilMillis;
     }
 
     /**
--- a/jayturn-core/src/test/java/dev/jayturn/core/ratelimit/ColdUpstreamsTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/ratelimit/ColdUpstreamsTest.java
@@ -88,6 +88,45 @@
         assertThat(changes).containsExactly("u/1 3000", "u/1 0");
     }
 
+    @Test
+    void instanceOutOfTouchGoesOnAtAnUpstreamToWhichItHasKeptAConnection() {
+        instances = 24;
+        cold.setConnectionCheck(heartbeat -> true);
+        cold.onHeartbeat(heartbeat(LIMITED, 1, 1, 0));
+        time.runFor(1_000);
+        isCurrent = false;
+        assertThat(sendFor(8_000, "u/1")).isEqualTo(1_600);
+    }
+
+    @Test
+    void upstreamThatBrokeItsConnectionsIsLimitedUntilTheDirectoryIsCurrent() {
+        instances = 24;
+        boolean[] connected = {true};
+        cold.setConnectionCheck(heartbeat -> connected[0]);
+        cold.onHeartbeat(heartbeat(LIMITED, 1, 1, 0));
+        time.runFor(1_000);
+        isCurrent = false;
+        sendFor(1_000, "u/1");
+        connected[0] = false;
+        time.runFor(300);
+        connected[0] = true;
+        assertThat(sendFor(8_000, "u/1")).isLessThan(8);
+        isCurrent = true;
+        assertThat(sendFor(1_000, "u/1")).isEqualTo(200);
+    }
+
+    @Test
+    void brokenResponseOutOfTouchEndsTheProofOfAnOpenConnection() {
+        instances = 24;
+        cold.setConnectionCheck(heartbeat -> true);
+        cold.onHeartbeat(heartbeat(LIMITED, 1, 1, 0));
+        time.runFor(1_000);
+        isCurrent = false;
+        sendFor(1_000, "u/1");
+        cold.onConnectionLost("u/1");
+        assertThat(sendFor(8_000, "u/1")).isLessThan(8);
+    }
+
     @Test
     void limitRisesBeforeItEnds() {
         cold.onHeartbeat(heartbeat(LIMITED, 1, 1, REMAINING_MILLIS));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Forwarder.java
@@ -131,6 +131,7 @@
         permits = coldUpstreams;
         streamOrigins = origins;
         retryBudgets.setEntryInstance(instance);
+        coldUpstreams.setConnectionCheck(heartbeat -> pools.isConnected(heartbeat.address()));
         dispatcher.setRateLimits(coldUpstreams);
         dispatcher.setDirectoryCheck(instance::isDirectoryCurrent);
         dispatcher.addFilter(instance.evacuation());
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPools.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPools.java
@@ -56,6 +56,12 @@
         }
     }
 
+    /** Returns whether there is a connection to an address, or one is being opened. */
+    boolean isConnected(String address) {
+        UpstreamConnectionPool pool = poolsByAddress.get(address);
+        return pool != null && pool.connectionCount() > 0;
+    }
+
     private void closeExpiredConnections() {
         for (Iterator<UpstreamConnectionPool> it = poolsByAddress.values().iterator();
                 it.hasNext(); ) {
