--- a/review/lab-2/Runner.java
+++ b/review/lab-2/Runner.java
@@ -24,8 +24,13 @@
     private final ServerSocket server;
     private final Handler handler;
     private final long born = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
     private volatile boolean closed;
-    private int sequence;
+    private volatile String state = "ready";
+    private long count;
+
+    /** Whether its pings are numbered by the microseconds since its start, and not by ones. */
+    private final boolean numbersByTime;
 
     /** A request as the runner has read it. */
     static final class Request {
@@ -53,6 +58,18 @@
     }
 
     Runner(Fleet fleet, String service, String id, String zone, Handler handler) throws IOException {
+        this(fleet, service, id, zone, handler, false);
+    }
+
+    Runner(
+            Fleet fleet,
+            String service,
+            String id,
+            String zone,
+            Handler handler,
+            boolean numbersByTime)
+            throws IOException {
+        this.numbersByTime = numbersByTime;
         this.fleet = fleet;
         this.service = service;
         this.id = id;
@@ -71,20 +88,7 @@
 
     private void ping() {
         while (!closed) {
-            sequence++;
-            String body =
-                    "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + server.getLocalPort()
-                            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":64,"
-                            + "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":" + sequence
-                            + ",\"born\":" + born + "}";
-            for (Fleet.Machine control : fleet.controls) {
-                int status =
-                        Fleet.call(control.ip, fleet.controlPort, "PUT", "/api/instances/" + id, Map.of(), body)
-                                .status;
-                if (status == 200) {
-                    break;
-                }
-            }
+            sendPing();
             try {
                 Thread.sleep(PING_INTERVAL_MILLIS);
             } catch (InterruptedException e) {
@@ -93,6 +97,33 @@
         }
     }
 
+    /** Sends one ping, to the next process if it gets no ack; returns whether it was acked. */
+    private synchronized boolean sendPing() {
+        for (Fleet.Machine control : fleet.controls) {
+            // It increases with each call.
+            count++;
+            long sequence = numbersByTime ? (System.nanoTime() - startNanos) / 1_000 : count;
+            String body =
+                    "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + server.getLocalPort()
+                            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":64,"
+                            + "\"state\":\"" + state + "\",\"cold_left_ms\":0,\"sequence\":" + sequence
+                            + ",\"born\":" + born + "}";
+            int status =
+                    Fleet.call(control.ip, fleet.controlPort, "PUT", "/api/instances/" + id, Map.of(), body)
+                            .status;
+            if (status == 200) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Reports that it is draining, and returns whether that was acked. */
+    boolean drain() {
+        state = "draining";
+        return sendPing();
+    }
+
     private void acceptAll() {
         while (!closed) {
             try {
