--- a/platform/src/test/java/dev/jayturn/platform/soak/Crowd.java
+++ b/jayturn-lab/src/main/java/dev/jayturn/lab/load/Crowd.java
@@ -1,4 +1,4 @@
-package dev.jayturn.platform.soak;
+package dev.jayturn.lab.load;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -13,7 +13,7 @@
  * Connections that each send some bytes and never read. They stay open until the crowd is closed,
  * or until the instance closes them.
  */
-final class Crowd implements Closeable {
+public final class Crowd implements Closeable {
     private static final int ROUNDS = 60;
     private static final long ROUND_MILLIS = 50;
 
@@ -26,7 +26,7 @@
      *
      * @param bytes returns what the connection of a number sends
      */
-    Crowd(String ip, int port, int size, IntFunction<byte[]> bytes)
+    public Crowd(String ip, int port, int size, IntFunction<byte[]> bytes)
             throws IOException, InterruptedException {
         for (int i = 0; i < size; i++) {
             SocketChannel channel;
@@ -60,7 +60,7 @@
     }
 
     /** Returns how many connections were seen to be closed by the instance. */
-    int closedByInstance() {
+    public int closedByInstance() {
         return closedByInstance;
     }
 
