Share the handlers of small HTTP servers between programs

The servers of the fleet decode requests one at a time and bound their heads and bodies; those of the daemon do not. No change of behaviour.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ApiBodyLimiter.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/api/BodyLimiter.java
@@ -1,4 +1,4 @@
-package dev.jayturn.daemon.fleet;
+package dev.jayturn.daemon.api;
 
 import dev.jayturn.core.limits.MemoryBudget;
 import io.netty.buffer.Unpooled;
@@ -24,7 +24,7 @@
  * Claims the memory for the body of a request before it is received. A request for which there is
  * none is refused, and what its caller still sends is discarded; the caller asks another instance.
  */
-final class ApiBodyLimiter extends ChannelInboundHandlerAdapter {
+public final class BodyLimiter extends ChannelInboundHandlerAdapter {
     private final MemoryBudget budget;
     private final int maxBodyBytes;
     private MemoryBudget.@Nullable Claim claim;
@@ -33,7 +33,7 @@
     private @Nullable ChannelFuture refusal;
     private @Nullable ChannelHandlerContext context;
 
-    ApiBodyLimiter(MemoryBudget budget, int maxBodyBytes) {
+    BodyLimiter(MemoryBudget budget, int maxBodyBytes) {
         this.budget = budget;
         this.maxBodyBytes = maxBodyBytes;
     }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/ControlProcess.java
@@ -104,8 +104,7 @@
         this.loop = loop;
         this.codec = codec;
         this.log = log;
-        this.headMemory =
-                new HeadMemory(settings.number(SettingKey.FLEET_HEADER_MEMORY), log, metrics);
+        this.headMemory = HeadMemoryLog.createMemory(settings, log, metrics);
     }
 
     /**
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/fleet/EntryProcess.java
@@ -142,8 +142,7 @@
                         quarantine,
                         retryBounds(settings),
                         FleetSettings.sourceAddress(settings));
-        this.headMemory =
-                new HeadMemory(settings.number(SettingKey.FLEET_HEADER_MEMORY), log, metrics);
+        this.headMemory = HeadMemoryLog.createMemory(settings, log, metrics);
         this.proxyServer = new ProxyServer(loop, forwarder, headMemory);
     }
 
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/HeadMemory.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/HeadMemory.java
@@ -1,41 +1,48 @@
 package dev.jayturn.daemon.head;
 
 import dev.jayturn.core.limits.HeadBudget;
-import dev.jayturn.daemon.eventlog.EventLog;
-import dev.jayturn.daemon.metrics.FleetMetrics;
 
-/** The memory that the heads of all requests to a process occupy. */
+/** The memory that the heads of requests occupy, of all that one event loop decodes. */
 public final class HeadMemory {
     /** Time after which a caller that was refused may find memory. */
     public static final long RETRY_AFTER_MILLIS = 1_000;
 
-    private static final int BYTES_PER_MEGABYTE = 1 << 20;
-
     private final HeadBudget budget;
-    private final EventLog log;
-    private final FleetMetrics metrics;
-
-    /** Creates the memory of a process and registers its gauge. */
-    public HeadMemory(long capacityMegabytes, EventLog log, FleetMetrics metrics) {
-        this.budget = new HeadBudget(capacityMegabytes * BYTES_PER_MEGABYTE);
-        this.log = log;
-        this.metrics = metrics;
-        metrics.registerGauge("jayturn.heads.charged.bytes", budget::chargedBytes);
+    private final Listener listener;
+
+    /** Learns of the requests that are refused. */
+    public interface Listener {
+        /**
+         * Called when a request is refused because of its head.
+         *
+         * @param part name of the address that it came to
+         * @param occupiedBytes what its head occupied
+         * @param chargedBytes what is left of all heads that are charged
+         */
+        void onRefused(String part, long occupiedBytes, long chargedBytes);
+    }
+
+    /**
+     * Creates a memory of which nothing is occupied.
+     *
+     * @param capacityBytes bound on what all heads occupy, except small ones
+     */
+    public HeadMemory(long capacityBytes, Listener listener) {
+        this.budget = new HeadBudget(capacityBytes);
+        this.listener = listener;
     }
 
     HeadBudget budget() {
         return budget;
     }
 
+    /** Returns what the heads that are charged occupy. */
+    public long chargedBytes() {
+        return budget.chargedBytes();
+    }
+
     /** Called when a request is refused whose head occupied a number of bytes. */
     void onRefused(String part, long occupiedBytes) {
-        metrics.recordRefusedHead(part);
-        log.event(
-                "heads.short",
-                json -> {
-                    json.writeStringField("part", part);
-                    json.writeNumberField("occupied", occupiedBytes);
-                    json.writeNumberField("charged", budget.chargedBytes());
-                });
+        listener.onRefused(part, occupiedBytes, budget.chargedBytes());
     }
 }
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/head/RequestCodecTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/head/RequestCodecTest.java
@@ -2,8 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.jayturn.daemon.eventlog.EventLog;
-import dev.jayturn.daemon.metrics.FleetMetrics;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -12,14 +10,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
 /** What the codec of a connection keeps, and how it encodes the responses. */
 final class RequestCodecTest {
     private static final int DISCARDED_REQUESTS = 10_000;
-    private static final int CAPACITY_MEGABYTES = 1;
+    private static final long CAPACITY_BYTES = 1 << 20;
 
     /** As that of a connection that closes: decodes everything, to discard it. */
     private static final class OpenGate implements RequestGate {
@@ -43,10 +40,7 @@
     }
 
     private final HeadMemory memory =
-            new HeadMemory(
-                    CAPACITY_MEGABYTES,
-                    new EventLog(OutputStream.nullOutputStream(), System::currentTimeMillis, 0),
-                    new FleetMetrics());
+            new HeadMemory(CAPACITY_BYTES, (part, occupiedBytes, chargedBytes) -> {});
     private final RequestCodec codec =
             new RequestCodec(new HttpDecoderConfig(), memory, "test", new OpenGate());
     private final EmbeddedChannel channel = new EmbeddedChannel(codec);
