Answer operators' calls whose path cannot be decoded

What callers saw: GET /v1/%zz had no answer, and its connection no other one.

Cause: the path was decoded outside the block that answers malformed requests, and an invalid escape is an IllegalArgumentException; the loop only logged it.

Evidence: DaemonTest.operatorsCallWithMalformedPathIsAnswered gets 400.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/operator/OperatorApi.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/operator/OperatorApi.java
@@ -79,10 +79,10 @@
     }
 
     private void dispatch(AdminRequest request, Consumer<AdminResponse> callback) {
-        List<String> segments = request.pathSegments();
-        String resource = segments.size() > 1 ? segments.get(1) : "";
-        String operation = request.method() + " " + resource;
         try {
+            List<String> segments = request.pathSegments();
+            String resource = segments.size() > 1 ? segments.get(1) : "";
+            String operation = request.method() + " " + resource;
             switch (operation) {
                 case "GET status":
                     showStatus(callback);
@@ -122,7 +122,7 @@
                     callback.accept(AdminResponse.of(ResultCode.NOT_FOUND, request.path()));
                     break;
             }
-        } catch (IOException | IndexOutOfBoundsException e) {
+        } catch (IOException | IndexOutOfBoundsException | IllegalArgumentException e) {
             callback.accept(
                     AdminResponse.of(ResultCode.MALFORMED_REQUEST, String.valueOf(e.getMessage())));
         }
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/DaemonTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/DaemonTest.java
@@ -12,6 +12,7 @@
 import dev.jayturn.lab.service.ServiceServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -260,6 +261,17 @@
         assertThat(chat("x".repeat(5_000), false, 5).statusCode()).isEqualTo(413);
     }
 
+    @Test
+    void operatorsCallWithMalformedPathIsAnswered() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", daemon.operatorAddress().getPort())) {
+            socket.setSoTimeout(10_000);
+            String call = "GET /v1/%zz HTTP/1.1\r\nHost: h\r\n\r\n";
+            socket.getOutputStream().write(call.getBytes(StandardCharsets.ISO_8859_1));
+            byte[] status = socket.getInputStream().readNBytes("HTTP/1.1 400".length());
+            assertThat(new String(status, StandardCharsets.ISO_8859_1)).isEqualTo("HTTP/1.1 400");
+        }
+    }
+
     @Test
     void drainWaitsForOpenStreams() throws Exception {
         startEngine("e", Fault.NONE, 0);
