Keep the lines of requests that run encoded

What callers saw: while a dozen requests with some 3,900 lines each ran, a request with 40 lines got 503 (3007) from an entry instance, for as long as the others ran.

Cause: a request that runs is never refused, held its head decoded until its end and so its claim, up to 1 MB; twelve of them hold all of header-memory.

Now a head above the free 8 KiB is kept as one text once its request is complete (EncodedHead), and counts with its bytes. It is decoded again for each decision that reads it. The request to an upstream is created when there is a connection to write it to, not before, so that no decoded copy waits for it. Heads within the free part, which are those of ordinary requests, are kept as before and cost no time.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
@@ -225,6 +225,20 @@
                                 HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
 
+    /**
+     * Returns a request in a form that occupies little more than was received, and gives back the
+     * rest of its head's memory; the request itself if its head is small.
+     */
+    public HttpRequest compact(HttpRequest request) {
+        if (occupiedBytes <= HeadBudget.FREE_BYTES) {
+            return request;
+        }
+        EncodedHead encoded = EncodedHead.of(request);
+        occupiedBytes = encoded.occupiedBytes();
+        claim.resize(occupiedBytes);
+        return encoded;
+    }
+
     /** Gives back the memory of the last request's head; called when the request has ended. */
     public void releaseHead() {
         occupiedBytes = 0;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -323,9 +323,11 @@
         }
         if (content instanceof LastHttpContent) {
             body = null;
+            HttpRequest compact = codec().compact(received);
+            head = compact;
             Exchange newExchange =
                     new Exchange(
-                            forwarder, this, received, decoded, bodySoFar.complete(), headMillis);
+                            forwarder, this, compact, decoded, bodySoFar.complete(), headMillis);
             exchange = newExchange;
             // The read that is in progress may find that the caller has left.
             context().executor().execute(() -> startIfConnected(newExchange));
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/Exchange.java
@@ -249,7 +249,7 @@
         forwarder
                 .pools()
                 .poolOf(upstream)
-                .send(upstreamRequest(upstream), request.id(), next, next::onConnection);
+                .send(() -> upstreamRequest(upstream), request.id(), next, next::onConnection);
     }
 
     /** Ends the request before the process does, so that the caller knows what has become of it. */
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to an upstream, which is used for one request at a time. */
@@ -154,12 +155,12 @@
      * Sends a request, unless the listener no longer wants it sent. The listener receives the
      * progress and the response.
      */
-    void send(FullHttpRequest request, String id, UpstreamListener responseListener) {
+    void send(Supplier<FullHttpRequest> source, String id, UpstreamListener responseListener) {
         if (!responseListener.onConnected()) {
-            request.release();
             pool.release(this);
             return;
         }
+        FullHttpRequest request = source.get();
         listener = responseListener;
         requestId = id;
         carriedIds.add(id);
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/UpstreamConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
@@ -63,9 +64,13 @@
         return connectionCount < maxConnections || !idleConnections.isEmpty();
     }
 
-    /** Sends a request on an idle or new connection, which is first passed to the consumer. */
+    /**
+     * Sends a request on an idle or new connection, which is first passed to the consumer.
+     *
+     * @param request creates the request once there is a connection that it can be written to
+     */
     void send(
-            FullHttpRequest request,
+            Supplier<FullHttpRequest> request,
             String id,
             UpstreamListener listener,
             Consumer<UpstreamConnection> onConnection) {
@@ -86,7 +91,6 @@
                 done -> {
                     if (!done.isSuccess()) {
                         connectionCount--;
-                        request.release();
                         listener.onUnreachable();
                         return;
                     }
