Count the parts of prompts that wait for their request

What callers saw: an entry instance ended beside 410 requests whose header names 3,750 parts of a prompt in one line, and whose body did not come.

Cause: a head counts with its bytes and its lines. The list of parts is decoded from one line and occupies some 20 times its length. Besides, a request that was refused kept its head and list until its connection had lingered.

Now the list is claimed from the memory of heads until the request has ended, and a refused request lets go of both.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
@@ -51,6 +51,10 @@
     private @Nullable HttpMethod unansweredMethod;
 
     private long occupiedBytes;
+
+    /** What the handler of the requests has decoded from the head beyond its lines. */
+    private long valueBytes;
+
     private boolean discarding;
     private boolean resuming;
 
@@ -137,7 +141,7 @@
                     claimedBytes = headBytes;
                 }
             }
-            claim.resize(claimedBytes);
+            claim.resize(claimedBytes + valueBytes);
             if (discarding) {
                 // The request was refused because of its own size.
                 out.forEach(ReferenceCountUtil::release);
@@ -225,6 +229,15 @@
                                 HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
 
+    /**
+     * Claims memory for what was decoded from the values of the current head, which may have the
+     * request refused.
+     */
+    public void claimValues(long bytes) {
+        valueBytes = bytes;
+        claim.resize(occupiedBytes + bytes);
+    }
+
     /**
      * Returns a request in a form that occupies little more than was received, and gives back the
      * rest of its head's memory; the request itself if its head is small.
@@ -235,13 +248,14 @@
         }
         EncodedHead encoded = EncodedHead.of(request);
         occupiedBytes = encoded.occupiedBytes();
-        claim.resize(occupiedBytes);
+        claim.resize(occupiedBytes + valueBytes);
         return encoded;
     }
 
     /** Gives back the memory of the last request's head; called when the request has ended. */
     public void releaseHead() {
         occupiedBytes = 0;
+        valueBytes = 0;
         claim.release();
     }
 
@@ -279,8 +293,9 @@
 
     @Override
     public void onRefused() {
-        memory.onRefused(part, occupiedBytes);
+        memory.onRefused(part, occupiedBytes + valueBytes);
         occupiedBytes = 0;
+        valueBytes = 0;
         discarding = true;
         decoder.discard();
         gate.onHeadRefused();
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerConnection.java
@@ -223,18 +223,18 @@
             reject(tooLong ? ResultCode.HEADERS_TOO_LARGE : ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
-        // Two lengths for one body would allow request smuggling.
-        boolean ambiguousLength =
-                received.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                        && received.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (ambiguousLength) {
+        if (RequestBody.isLengthAmbiguous(received)) {
             reject(ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
         try {
-            request = forwarder.codec().decode(received);
+            CallerRequest decoded = forwarder.codec().decode(received);
+            request = decoded;
+            codec().claimValues(decoded.valueBytes());
         } catch (MalformedRequestException e) {
             reject(ResultCode.MALFORMED_REQUEST, 0);
+        }
+        if (closing) {
             return;
         }
         head = received;
@@ -362,6 +362,8 @@
         if (decoded != null) {
             forwarder.codec().setRequestId(response.headers(), decoded.id());
         }
+        request = null;
+        head = null;
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         ChannelFuture sent = output.writeAndFlush(context(), response);
         lingeringResponse = sent;
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/CallerRequest.java
@@ -19,6 +19,13 @@
         RequestProfile profile,
         String lastEventId,
         String resumedRequestId) {
+    /** Bytes that a part of the prompt occupies, with its id. */
+    private static final int PART_BYTES = 96;
+
+    /** Returns about what the lists occupy that are decoded from the values of headers. */
+    long valueBytes() {
+        return (long) profile.parts().size() * PART_BYTES;
+    }
 
     /** Returns how long the caller is kept waiting at a route with a timeout in milliseconds. */
     long timeoutMillis(long routeTimeoutMillis) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestBody.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestBody.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import org.jspecify.annotations.Nullable;
@@ -88,6 +89,12 @@
                 : HttpUtil.getContentLength(head, 0L);
     }
 
+    /** Returns whether a body has two lengths, which would allow request smuggling. */
+    static boolean isLengthAmbiguous(HttpRequest head) {
+        return head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+                && head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
     /** Claims memory for the whole body, or for the begin of one of unknown length. */
     void claim(long maxWaitMillis) {
         claim(
