Stop reading behind a request that runs

What callers saw: one caller whose request ran took all direct memory of an entry instance with the bytes that it sent behind it, and others had none.

Cause: RequestCodec turns automatic reading off above 32 KiB of undecoded bytes. Netty's decoder then asks for one more read whenever a read gave no message, so that reading never stopped; a log of the test shows OutOfDirectMemoryError at 4 MB for one connection.

Now the codec does not ask while its gate is paused.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/head/RequestCodec.java
@@ -111,6 +111,19 @@
             measure(buffer, start, out);
         }
 
+        /**
+         * Otherwise the decoder reads on, whatever the channel is set to, until it has a message.
+         */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            if (gate.isPaused()) {
+                discardSomeReadBytes();
+                ctx.fireChannelReadComplete();
+            } else {
+                super.channelReadComplete(ctx);
+            }
+        }
+
         /** Claims the memory of the lines between an index and the reader's. */
         private void measure(ByteBuf buffer, int start, List<Object> out) {
             HttpMessage message = current;
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/head/RequestCodecTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/head/RequestCodecTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +17,7 @@
 /** What the codec of a connection keeps, and how it encodes the responses. */
 final class RequestCodecTest {
     private static final int DISCARDED_REQUESTS = 10_000;
+    private static final int MANY_LINES = 1_000;
     private static final long CAPACITY_BYTES = 1 << 20;
 
     /** As that of a connection that closes: decodes everything, to discard it. */
@@ -90,4 +92,34 @@
         assertThat(respond()).endsWith("\r\n\r\nbody");
         channel.finishAndReleaseAll();
     }
+
+    @Test
+    void compactRequestHasTheHeadersThatWereReceived() {
+        StringBuilder head =
+                new StringBuilder("POST /a?b=c HTTP/1.1\r\nx-a: 1: 2\r\nx-a:\r\nx-b: \u00e9\r\n");
+        head.append("a:\r\n".repeat(MANY_LINES)).append("\r\n");
+        channel.writeInbound(Unpooled.copiedBuffer(head, StandardCharsets.ISO_8859_1));
+        HttpRequest request = channel.readInbound();
+        String received = request.headers().entries().toString();
+        long chargedBytes = memory.chargedBytes();
+        HttpRequest compact = codec.compact(request);
+        assertThat(compact.headers().entries().toString()).isEqualTo(received);
+        assertThat(compact.headers().size()).isEqualTo(MANY_LINES + 3);
+        assertThat(compact.headers().getAll("X-A")).containsExactly("1: 2", "");
+        assertThat(compact.uri()).isEqualTo("/a?b=c");
+        assertThat(memory.chargedBytes()).isLessThan(chargedBytes / 10);
+        codec.releaseHead();
+        assertThat(memory.chargedBytes()).isZero();
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void requestWithAnOrdinaryHeadIsKeptAsItIs() {
+        channel.writeInbound(
+                Unpooled.copiedBuffer(
+                        "GET / HTTP/1.1\r\nHost: h\r\n\r\n", StandardCharsets.US_ASCII));
+        HttpRequest request = channel.readInbound();
+        assertThat(codec.compact(request)).isSameAs(request);
+        channel.finishAndReleaseAll();
+    }
 }
