Let short bodies that stop give way to new ones

What callers saw: a request with a body of 60 KB got 503 (3006) from an entry instance while 410 others lacked the last byte of theirs.

Cause: the memory of a short body is claimed as a whole with its head and kept until the body is complete or times out. At the deploy file's 24 MB some 380 such callers have it all, and a byte now and then keeps it.

Now a short claim that finds no memory takes that of the short body which has been received for the longest time; its caller gets 503 with 3006, which is true, as the request did not run. Complete bodies keep theirs. An interface that gives up a request also lets go of what it had collected of the body.

--- a/jayturn-core/src/main/java/dev/jayturn/core/limits/MemoryBudget.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/limits/MemoryBudget.java
@@ -5,13 +5,14 @@
     /** Largest claim, in bytes, that is granted or rejected without a wait. */
     int SHORT_CLAIM_BYTES = 64 * 1_024;
 
-    /** Receives the decision on a claim, once. */
+    /** Receives the decision on a claim. */
     interface Callback {
         /** The memory may be used until the claim is released. */
         void onGranted();
 
         /**
-         * There will be no memory in time.
+         * There will be no memory in time, or others get that of a short body, which was granted
+         * and has not been received in full.
          *
          * @param retryAfterMillis time after which there probably is
          */
@@ -20,6 +21,9 @@
 
     /** A part of the memory. */
     interface Claim {
+        /** Keeps the memory until it is released; called when the body has been received. */
+        void complete();
+
         /** Gives back what lies beyond a number of bytes. */
         void shrinkTo(long bytes);
 
--- a/jayturn-core/src/main/java/dev/jayturn/core/limits/SharedMemoryBudget.java
+++ b/jayturn-core/src/main/java/dev/jayturn/core/limits/SharedMemoryBudget.java
@@ -17,6 +17,10 @@
  * completed, and those that have none wait unread. A claim whose turn would come too late is
  * rejected at once, because its caller may find memory at another instance. Bodies of ordinary
  * requests never wait behind long ones.
+ *
+ * <p>Callers may also begin many short bodies and stop. If these fill the memory, the short body
+ * that has been received for the longest time gives way to a new one. An ordinary caller sends such
+ * a body at once.
  */
 public final class SharedMemoryBudget implements MemoryBudget {
     /** Share of the memory that long claims leave to short ones. */
@@ -38,6 +42,10 @@
     private final long longCapacityBytes;
     private final Set<SharedClaim> heldLongClaims = new LinkedHashSet<>();
     private final Deque<SharedClaim> waitingClaims = new ArrayDeque<>();
+
+    /** Claims of short bodies that have not been received in full, in the order of the grants. */
+    private final Set<SharedClaim> incompleteShortClaims = new LinkedHashSet<>();
+
     private double holdMillis = INITIAL_HOLD_MILLIS;
     private long claimedBytes;
     private long waitingBytes;
@@ -77,6 +85,8 @@
             if (bytes > SHORT_CLAIM_BYTES) {
                 grantedMillis = timers.nowMillis();
                 heldLongClaims.add(this);
+            } else if (bytes > 0) {
+                incompleteShortClaims.add(this);
             }
             callback.onGranted();
         }
@@ -110,6 +120,18 @@
             callback.onRejected(retryAfterMillis(bytes));
         }
 
+        /** Takes the memory back, of which the callback learns. */
+        private void withdraw() {
+            state = State.ENDED;
+            claimedBytes -= bytes;
+            callback.onRejected(MIN_RETRY_AFTER_MILLIS);
+        }
+
+        @Override
+        public void complete() {
+            incompleteShortClaims.remove(this);
+        }
+
         @Override
         public void shrinkTo(long newBytes) {
             if (state == State.GRANTED && newBytes < bytes) {
@@ -130,6 +152,7 @@
                 stopWaiting();
             } else if (before == State.GRANTED) {
                 claimedBytes -= bytes;
+                incompleteShortClaims.remove(this);
                 if (heldLongClaims.remove(this)) {
                     long heldMillis = timers.nowMillis() - grantedMillis;
                     holdMillis += HOLD_WEIGHT * (heldMillis - holdMillis);
@@ -143,7 +166,7 @@
     public Claim claim(long bytes, long maxWaitMillis, Callback callback) {
         SharedClaim claim = new SharedClaim(bytes, callback);
         boolean isShort = bytes <= SHORT_CLAIM_BYTES;
-        if (isShort ? claimedBytes + bytes <= capacityBytes : canGrantLong(claim)) {
+        if (isShort ? makeRoom(bytes) : canGrantLong(claim)) {
             claim.grant();
         } else if (isShort
                 || bytes > longCapacityBytes
@@ -156,6 +179,26 @@
         return claim;
     }
 
+    /** Returns whether there is memory for a short claim, for which others may be withdrawn. */
+    private boolean makeRoom(long bytes) {
+        if (claimedBytes + bytes <= capacityBytes) {
+            return true;
+        }
+        long withdrawableBytes = 0;
+        for (SharedClaim claim : incompleteShortClaims) {
+            withdrawableBytes += claim.bytes;
+        }
+        if (claimedBytes - withdrawableBytes + bytes > capacityBytes) {
+            return false;
+        }
+        while (claimedBytes + bytes > capacityBytes && !incompleteShortClaims.isEmpty()) {
+            SharedClaim oldest = incompleteShortClaims.iterator().next();
+            incompleteShortClaims.remove(oldest);
+            oldest.withdraw();
+        }
+        return claimedBytes + bytes <= capacityBytes;
+    }
+
     private boolean canGrantLong(SharedClaim claim) {
         boolean isNext = waitingClaims.isEmpty() || waitingClaims.peek() == claim;
         return isNext && claimedBytes + claim.bytes <= longCapacityBytes;
--- a/jayturn-core/src/test/java/dev/jayturn/core/limits/SharedMemoryBudgetTest.java
+++ b/jayturn-core/src/test/java/dev/jayturn/core/limits/SharedMemoryBudgetTest.java
@@ -148,4 +148,30 @@
         assertThat(rejectedMillis).containsKey("huge");
         assertThat(budget.largestClaimBytes()).isEqualTo(18 * MEBIBYTE);
     }
+
+    @Test
+    void shortBodiesThatStopGiveWayToNewOnes() {
+        int fitting = (int) (CAPACITY_BYTES / MemoryBudget.SHORT_CLAIM_BYTES);
+        claim("received", MemoryBudget.SHORT_CLAIM_BYTES).complete();
+        for (int i = 1; i < fitting; i++) {
+            claim("stopped-" + i, MemoryBudget.SHORT_CLAIM_BYTES);
+        }
+        claim("new", SHORT_BYTES);
+        claim("next", MemoryBudget.SHORT_CLAIM_BYTES);
+        assertThat(grants).contains("new", "next");
+        assertThat(rejectedMillis).containsOnlyKeys("stopped-1", "stopped-2");
+        assertThat(budget.claimedBytes()).isLessThanOrEqualTo(CAPACITY_BYTES);
+    }
+
+    @Test
+    void shortBodiesThatAreReceivedKeepTheirMemory() {
+        int fitting = (int) (CAPACITY_BYTES / MemoryBudget.SHORT_CLAIM_BYTES);
+        for (int i = 1; i < fitting; i++) {
+            claim("received-" + i, MemoryBudget.SHORT_CLAIM_BYTES).complete();
+        }
+        claim("stopped", SHORT_BYTES);
+        claim("received", MemoryBudget.SHORT_CLAIM_BYTES - SHORT_BYTES).complete();
+        claim("new", 2 * SHORT_BYTES);
+        assertThat(rejectedMillis).containsOnlyKeys("new");
+    }
 }
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/api/BodyLimiter.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/api/BodyLimiter.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -69,7 +70,6 @@
     public void refuseHead() {
         ChannelHandlerContext ctx = context;
         if (ctx != null && refusal == null) {
-            release();
             refuse(ctx, ResultCode.HEADS_FULL, HeadMemory.RETRY_AFTER_MILLIS);
         }
     }
@@ -94,6 +94,10 @@
         }
         ChannelFuture sent = refusal;
         if (sent == null) {
+            MemoryBudget.Claim held = claim;
+            if (held != null && message instanceof LastHttpContent) {
+                held.complete();
+            }
             ctx.fireChannelRead(message);
             return;
         }
@@ -105,7 +109,7 @@
     }
 
     private void claim(ChannelHandlerContext ctx, long bytes) {
-        release();
+        releaseClaim();
         claimedBytes = bytes;
         claim =
                 budget.claim(
@@ -127,6 +131,11 @@
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         ChannelFuture sent = ctx.writeAndFlush(response);
         refusal = sent;
+        release();
+        // What it has collected is not needed any more.
+        if (ctx.pipeline().get(HttpObjectAggregator.class) != null) {
+            ctx.pipeline().remove(HttpObjectAggregator.class);
+        }
         sent.addListener(
                 done -> {
                     if (done.isSuccess() && ctx.channel() instanceof DuplexChannel channel) {
@@ -139,6 +148,10 @@
     /** Gives the memory back; called when the request was handled. */
     public void release() {
         head = null;
+        releaseClaim();
+    }
+
+    private void releaseClaim() {
         MemoryBudget.Claim held = claim;
         claim = null;
         if (held != null) {
--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestBody.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/proxy/RequestBody.java
@@ -191,6 +191,7 @@
         MemoryBudget.Claim claim = buffer.claim;
         if (claim != null) {
             claim.shrinkTo(receivedBytes);
+            claim.complete();
         }
         return buffer;
     }
