Bound the open calls of a connection between daemons

Cause: gRPC's server has no bound on the calls of a connection by default, and each open call holds its state.

Now a connection may have 8; an instance opens one.

Evidence: DaemonCrowdTest.openCallsAtAddressOfOtherInstances failed before and passes.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/peer/GrpcTransport.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/peer/GrpcTransport.java
@@ -36,6 +36,10 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long KEEP_ALIVE_INTERVAL_SECONDS = 10;
     private static final int MAX_MESSAGE_BYTES = 64 << 20;
+
+    /** An instance needs one, and another one after a fault until the first is known to be lost. */
+    private static final int MAX_CALLS_OF_A_CONNECTION = 8;
+
     private static final long REDIAL_INTERVAL_MILLIS = 200;
 
     private final String self;
@@ -65,6 +69,7 @@
         this.server =
                 NettyServerBuilder.forAddress(listen)
                         .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+                        .maxConcurrentCallsPerConnection(MAX_CALLS_OF_A_CONNECTION)
                         .permitKeepAliveTime(KEEP_ALIVE_INTERVAL_SECONDS / 2, TimeUnit.SECONDS)
                         .permitKeepAliveWithoutCalls(true)
                         .addService(new PeerService())
--- a/jayturn-daemon/src/test/java/dev/jayturn/daemon/crowd/DaemonCrowdTest.java
+++ b/jayturn-daemon/src/test/java/dev/jayturn/daemon/crowd/DaemonCrowdTest.java
@@ -3,6 +3,8 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.io.ByteArrayDataOutput;
+import com.google.common.io.ByteStreams;
 import dev.jayturn.lab.load.Crowd;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -42,6 +44,11 @@
     private static final int DOCUMENT_BYTES = 50_000_000;
     private static final int DOCUMENTS = 8;
 
+    private static final int PEER_CALLS = 2_000;
+    private static final int HTTP2_HEADERS = 1;
+    private static final int HTTP2_SETTINGS = 4;
+    private static final int HTTP2_END_HEADERS = 4;
+
     /** Memory of the smallest machine. */
     private static final long MAX_MEMORY_BYTES = 258L << 20;
 
@@ -179,6 +186,41 @@
         everybodyIsAnsweredBeside(daemon.peersPort(), CROWD, CALL + repeat("a:\r\n", HEAD_BYTES));
     }
 
+    private static void writeFrame(
+            ByteArrayDataOutput out, int type, int flags, int stream, byte[] payload) {
+        out.writeByte(payload.length >> 16);
+        out.writeShort(payload.length);
+        out.writeByte(type);
+        out.writeByte(flags);
+        out.writeInt(stream);
+        out.write(payload);
+    }
+
+    /** Returns the head of a call of the peer service, without compression. */
+    private static byte[] peerCall() {
+        ByteArrayDataOutput head = ByteStreams.newDataOutput();
+        String path = "/dev.jayturn.wire.Peer/Exchange";
+        // Indexed are the method POST and the scheme http; the names of the path and the type too.
+        head.write(new byte[] {(byte) 0x83, (byte) 0x86, 0x04, (byte) path.length()});
+        head.write(path.getBytes(ISO_8859_1));
+        head.write(new byte[] {0x0f, 0x10, (byte) "application/grpc".length()});
+        head.write("application/grpc".getBytes(ISO_8859_1));
+        head.write(new byte[] {0x00, 2, 't', 'e', 8});
+        head.write("trailers".getBytes(ISO_8859_1));
+        return head.toByteArray();
+    }
+
+    @Test
+    void openCallsAtAddressOfOtherInstances() throws IOException, InterruptedException {
+        ByteArrayDataOutput calls = ByteStreams.newDataOutput();
+        calls.write("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".getBytes(ISO_8859_1));
+        writeFrame(calls, HTTP2_SETTINGS, 0, 0, new byte[0]);
+        for (int i = 0; i < PEER_CALLS; i++) {
+            writeFrame(calls, HTTP2_HEADERS, HTTP2_END_HEADERS, 2 * i + 1, peerCall());
+        }
+        everybodyIsAnsweredBeside(daemon.peersPort(), READING_CROWD, calls.toByteArray());
+    }
+
     @Test
     void oneCallOfShortLinesIsServedInCalm() {
         assertThat(daemon.isServedWith(repeat("a:\r\n", HEAD_BYTES))).isTrue();
