Let slow readers finish a response after they have begun the next request

What callers saw: one who read a long response from a daemon slowly, and had sent a part of the next request, could be closed after header-timeout, which cut the response off. Found in review; the bounds on callers' requests brought it.

Cause: the time of a request starts with its first byte, but the request is not decoded while the response before it waits for its reader.

Now a connection whose reader makes progress goes on in this state too, as an idle one does. One that reads nothing for a whole time-out is closed.

Evidence: RequestTimeoutHandlerTest, one case failed before and passes; with it ConnectionLimitTest and DaemonTest pass.

--- a/jayturn-daemon/src/main/java/dev/jayturn/daemon/http/RequestTimeoutHandler.java
+++ b/jayturn-daemon/src/main/java/dev/jayturn/daemon/http/RequestTimeoutHandler.java
@@ -100,9 +100,9 @@
     private void onTimeout(ChannelHandlerContext ctx) {
         long unsentBefore = unsentBytes;
         unsentBytes = unsentBytes(ctx.channel());
-        if (state == State.IDLE && unsentBytes > 0 && unsentBytes < unsentBefore) {
-            // The caller is still reading the response.
-            startTimeout(idleMillis);
+        if (unsentBytes > 0 && unsentBytes < unsentBefore) {
+            // The caller is still reading the response; a request behind it is not decoded yet.
+            startTimeout(state == State.IDLE ? idleMillis : receiveMillis);
         } else {
             ctx.close();
         }
